--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,751 @@
+// Package control decides where objects are served, kept and filled from.
+//
+// How to call it: New makes one router. Where says where to send a retrieval (or not yet, or never), After
+// what to do once a dispatch has ended, Wait how long to wait before asking Where again. The facts come by
+// Listed, ListFailed, Purged, Departed, Streaming, Probed and Tick. The interface's types are in types.go,
+// the reasons in docs/design.md. A router shares nothing, reads no clock and is not safe for use by two
+// goroutines at once.
+package control
+
+import (
+	"cmp"
+	"container/list"
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"hash/fnv"
+	"math"
+	"slices"
+)
+
+const (
+	second = int64(1e9)
+	period = second / 10 // of the one periodic timer
+
+	exchange   = 4e-4 // the design's c: missed updates that one KB of filling is worth
+	unsizedKB  = 500. // the design's b where sizes are not told
+	rateWindow = 10 * second
+	tableSize  = 10000
+	renewFrom  = 1.  // λ·age from which a copy is renewed behind
+	hotShare   = 0.1 // of this router's requests per cache
+
+	silentFrom  = 6.  // evidence of silence from which a member is suspect: e^-6 by chance
+	badFrom     = 2.5 // failures, lately, from which a member is suspect
+	healthSpan  = 4 * second
+	trialFirst  = second // until a suspect is tried again; doubles up to trialMost
+	trialMost   = 8 * second
+	guardMargin = 0.6 // part of a cold budget that is used: weights are rough, and chance needs room
+)
+
+func get[T any](s Settings, name string, fallback T) T {
+	if v, ok := s[name].(T); ok {
+		return v
+	}
+	return fallback
+}
+
+// at reads place i of a setting that is a list, and at(..., -1) none.
+func at[T any](s Settings, name string, i int, fallback T) T {
+	if row := get[[]T](s, name, nil); i >= 0 && i < len(row) {
+		return row[i]
+	}
+	return fallback
+}
+
+// New makes a router from its settings; log takes a short line for each change of mode.
+func New(now int64, seed uint64, set Settings, log func(string)) (*Router, error) {
+	for _, name := range []string{"product.names", "product.due", "product.hardStop", "product.payoff",
+		"product.effect", "location", "kinds", "routers"} {
+		if set[name] == nil {
+			return nil, fmt.Errorf("setting %s is missing", name)
+		}
+	}
+	r := &Router{set: set, log: log, seed: seed, started: now, home: get(set, "location", ""),
+		products: map[string]*product{}, members: map[uint32]*member{}, table: map[entryKey]*entry{},
+		live: list.New(), ghosts: list.New(), totalAt: now, purges: map[string]int64{},
+		tenants: map[string]*tenant{}}
+	for i, name := range get[[]string](set, "product.names", nil) {
+		due := at(set, "product.due", i, int64(0))
+		r.products[name] = &product{place: i, name: name, due: due, hardStop: at(set, "product.hardStop", i, due),
+			fresh: at(set, "product.fresh", i, int64(0)), staleSpan: at(set, "product.staleSpan", i, int64(0)),
+			window: at(set, "product.window", i, int64(0)), dueStretch: at(set, "product.dueStretch", i, 0.),
+			payoff: at(set, "product.payoff", i, 1.), effect: at(set, "product.effect", i, "one-shot"),
+			scope: at(set, "product.scope", i, "cell"), neverKept: at(set, "product.neverKept", i, false),
+			streamed: at(set, "product.streamed", i, false),
+			sending:  float64(due) / 1e9, answer: float64(due) / 1e9, seen: 10}
+	}
+	for i, name := range get[[]string](set, "tenant.names", nil) {
+		r.tenants[name] = &tenant{quota: at(set, "tenant.quota", i, math.Inf(1)), counted: now}
+	}
+	return r, nil
+}
+
+// Where says where to send a retrieval, or not yet, or never. It is asked when the retrieval comes and
+// whenever the time that Wait gave has passed.
+func (r *Router) Where(now int64, t *Retrieval) Decision {
+	if t.product == nil {
+		if t.product = r.products[t.Product]; t.product == nil {
+			return Decision{Verdict: Abort}
+		}
+		t.arrived, t.payoff = now, t.product.payoff
+		if tn := r.tenants[t.Tenant]; tn != nil {
+			if tn.count = fade(tn.count, now-tn.counted, second) + 1; tn.count > tn.quota/r.sharers(nil) {
+				t.payoff *= get(r.set, "tenant.overSharePayoff", 1.)
+			}
+			tn.counted = now
+		}
+		t.entry = r.note(now, t)
+	}
+	if t.done || t.streaming {
+		return Decision{}
+	}
+	if t.out > 0 {
+		return r.rethink(now, t)
+	}
+	return r.next(now, t)
+}
+
+// After says what to do once a dispatch has ended.
+func (r *Router) After(now int64, t *Retrieval, o Outcome) Decision {
+	if o.Number < 0 || o.Number >= len(t.dispatches) || t.dispatches[o.Number].ended {
+		return Decision{}
+	}
+	d := t.dispatches[o.Number]
+	d.ended, d.mayHaveRun = true, o.Result > Unsent
+	t.out--
+	r.judge(now, t, d, o)
+	if o.Closed || t.done {
+		t.done = true
+		var rest []int
+		for i, other := range t.dispatches {
+			if !other.ended && get(r.set, "cancel", false) && !t.streaming {
+				rest = append(rest, i)
+			}
+		}
+		return Decision{Cancel: rest}
+	}
+	if t.out > 0 || t.streaming {
+		return Decision{}
+	}
+	return r.next(now, t)
+}
+
+// Wait says how long to wait before asking Where again; 0 is until an outcome.
+func (r *Router) Wait(now int64, t *Retrieval) int64 {
+	switch {
+	case t.done || t.streaming || t.product == nil:
+		return 0
+	case t.held:
+		return second / 20
+	case t.out > 0:
+		first := int64(2 * t.product.answer * 1e9)
+		return max(first-(now-t.dispatches[len(t.dispatches)-1].sent), period)
+	}
+	return 0
+}
+
+// Departed tells that a retrieval's client left, or that it ended otherwise; dispatches may still be out.
+func (r *Router) Departed(_ int64, t *Retrieval) { t.done = true }
+
+// Streaming tells that a dispatch's answer has started: it belongs to the client now, the others are called
+// off.
+func (r *Router) Streaming(now int64, t *Retrieval, number int) Decision {
+	t.streaming = true
+	var rest []int
+	for i, d := range t.dispatches {
+		if i == number {
+			d.cache.heard = now
+		} else if !d.ended && get(r.set, "cancel", false) {
+			rest = append(rest, i)
+		}
+	}
+	return Decision{Cancel: rest}
+}
+
+// next picks the next dispatch of a retrieval that has none out, or holds it, or gives it up.
+func (r *Router) next(now int64, t *Retrieval) Decision {
+	if now >= t.HardStop || len(t.dispatches) >= r.most(t) || !r.repeatable(now, t) {
+		return r.giveUp(t)
+	}
+	cache, source := r.place(now, t)
+	if cache == nil {
+		// Nothing usable now (empty list, all cold and at their budget): wait while it can still be in time.
+		if t.held = now < t.arrived+t.product.due/2; t.held {
+			return Decision{}
+		}
+		return r.giveUp(t)
+	}
+	return r.send(now, t, cache, source)
+}
+
+// rethink looks after a retrieval whose dispatch is out: if the cache or the source has become suspect
+// since, it goes elsewhere, beside the first where that is allowed, else in its place.
+func (r *Router) rethink(now int64, t *Retrieval) Decision {
+	var stuck []int
+	for i, d := range t.dispatches {
+		if d.ended {
+			continue
+		}
+		if r.check(now, d.cache); !d.cache.suspect && (d.source == nil || !d.source.suspect) {
+			return Decision{}
+		}
+		stuck = append(stuck, i)
+	}
+	if len(t.dispatches) >= r.most(t) || !r.repeatable(now, t) || now >= t.HardStop {
+		return Decision{}
+	}
+	if !get(r.set, "dispatches.together", false) {
+		if t.product.effect == "harmless" && get(r.set, "cancel", false) {
+			return Decision{Cancel: stuck}
+		}
+		return Decision{}
+	}
+	cache, source := r.place(now, t)
+	if cache == nil {
+		return Decision{}
+	}
+	return r.send(now, t, cache, source)
+}
+
+// most is how many dispatches a retrieval may have, by its payoff.
+func (r *Router) most(t *Retrieval) int {
+	best := t.payoff
+	for _, p := range r.products {
+		best = max(best, p.payoff)
+	}
+	return min(int(get(r.set, "dispatches.most", int64(3))), 2+int(2*t.payoff/best))
+}
+
+// repeatable tells whether a further dispatch can do no harm: rule 2.
+func (r *Router) repeatable(now int64, t *Retrieval) bool {
+	for _, d := range t.dispatches {
+		if d.ended && !d.mayHaveRun || t.product.effect == "harmless" {
+			continue
+		}
+		if t.product.effect != "stamped" || now >= d.sent+t.product.window {
+			return false
+		}
+	}
+	return true
+}
+
+// sameGroup tells whether a stamped retrieval that may have run can be repeated at m.
+func sameGroup(t *Retrieval, m *member) bool {
+	for _, d := range t.dispatches {
+		if t.product.effect == "stamped" && (!d.ended || d.mayHaveRun) && (t.product.scope == "zone" &&
+			d.cache.Location != m.Location || t.product.scope == "cell" && d.cache.Cell != m.Cell) {
+			return false
+		}
+	}
+	return true
+}
+
+// giveUp ends a retrieval at once: dismissed where the client may safely try again, else aborted.
+func (r *Router) giveUp(t *Retrieval) Decision {
+	t.done, t.held = true, false
+	for _, d := range t.dispatches {
+		ran := !d.ended || d.mayHaveRun
+		if ran && t.product.effect != "harmless" && (t.product.effect != "stamped" || t.product.scope != "all") {
+			return Decision{Verdict: Abort}
+		}
+	}
+	var advice int64
+	if get(r.set, "advice", false) {
+		// Spread, so that those turned away together don't come back together.
+		advice = int64((0.5 + 0.5*r.chance()) * float64(get(r.set, "advice.most", int64(0))))
+	}
+	return Decision{Verdict: Dismiss, Advice: advice}
+}
+
+// place picks the cache and the fill source by the object's hash.
+func (r *Router) place(now int64, t *Retrieval) (cache, source *member) {
+	untouched := t.product.neverKept || t.Write
+	amount := r.sendingTime(t)
+	ranked := rank(t.entry.key, r.caches)
+	spread := 1
+	share := hotShare * r.rate(now, r.total, r.totalAt) / float64(max(1, len(ranked)))
+	if !untouched && share > 0 {
+		if own := r.rate(now, t.entry.count, t.entry.counted); own > 2*share {
+			spread = 3
+		} else if own > share {
+			spread = 2
+		}
+	}
+	if first := ranked[:min(spread, len(ranked))]; len(first) > 1 {
+		slices.SortStableFunc(first, func(a, b *member) int { return cmp.Compare(a.crowd(), b.crowd()) })
+	}
+	may := func(m *member) bool { return sameGroup(t, m) }
+	cache = r.pick(now, t, ranked, amount, func(m *member) bool { return may(m) && !tried(t, m, false) })
+	if cache == nil {
+		cache = r.pick(now, t, ranked, amount, may)
+	}
+	if cache == nil {
+		return nil, nil
+	}
+	sources := rank(t.entry.key, r.parents)
+	if r.origin != nil {
+		sources = append(sources, r.origin)
+	}
+	source = r.pick(now, t, sources, amount, func(m *member) bool { return !tried(t, m, true) })
+	if source == nil {
+		source = r.pick(now, t, sources, amount, func(*member) bool { return true })
+	}
+	return cache, source
+}
+
+// tried tells whether a dispatch of t went to m, or named it as source, and did not succeed.
+func tried(t *Retrieval, m *member, asSource bool) bool {
+	for _, d := range t.dispatches {
+		if !asSource && d.cache == m || asSource && d.source == m {
+			return true
+		}
+	}
+	return false
+}
+
+// pick takes the first member that is not suspect and within its cold budget; a suspect that is due for a
+// trial is taken in its turn; if all are suspect, the first within its budget: then something else is wrong
+// than they.
+func (r *Router) pick(now int64, t *Retrieval, ranked []*member, amount float64,
+	ok func(*member) bool) *member {
+	var fallback *member
+	for _, m := range ranked {
+		if !ok(m) || !r.fits(now, m, amount) {
+			continue
+		}
+		r.check(now, m)
+		if !m.suspect || now >= m.trialAt && !m.trial && len(t.dispatches) == 0 && !get(r.set, "probe", false) {
+			return m
+		}
+		if fallback == nil {
+			fallback = m
+		}
+	}
+	return fallback
+}
+
+func (r *Router) send(now int64, t *Retrieval, cache, source *member) Decision {
+	t.held = false
+	d := &dispatch{sent: now, cache: cache, source: source}
+	t.dispatches = append(t.dispatches, d)
+	t.out++
+	out := Dispatch{Cache: cache.ID, Within: t.HardStop - now}
+	for _, m := range []*member{cache, source} {
+		if m == nil {
+			continue
+		}
+		m.out = append(m.out, d)
+		m.spent = append(m.spent, charge{now, r.sendingTime(t)})
+		if m.suspect {
+			m.trial, d.trial = true, m
+		}
+	}
+	if source == nil {
+		out.Plain = true
+		return Decision{Verdict: Send, Dispatch: out}
+	}
+	out.Source = source.ID
+	if !t.product.neverKept && !t.Write {
+		e := t.entry
+		out.Join = get(r.set, "joins", false)
+		out.Age, out.Renew = r.age(now, t)
+		// Ranks shield reused objects from those asked for once.
+		switch own := r.rate(now, e.count, e.counted) * float64(rateWindow) / 1e9; {
+		case own < 1.2:
+			out.Rank = 1
+		case own < 4:
+			out.Rank = 2
+		default:
+			out.Rank = 3
+		}
+	}
+	return Decision{Verdict: Send, Dispatch: out}
+}
+
+// age gives the oldest copy that will do, and whether an ageing one is renewed behind.
+func (r *Router) age(now int64, t *Retrieval) (age int64, renew bool) {
+	e, p := t.entry, t.product
+	if e.age == 0 || now >= e.ageEnds {
+		r.setAge(now, t)
+	}
+	age = e.age
+	renew = r.scaled(now, e)*float64(age)/1e9 >= renewFrom
+	if t.stale && p.fresh > 0 {
+		age = p.fresh + p.staleSpan
+	}
+	if age == math.MaxInt64 {
+		age = 0
+	}
+	// Rule 5: nothing older than the last told purge, by the time of sending. Never 0, which means the fresh
+	// time.
+	for _, name := range []string{"o" + t.Object, groupName(t.Group)} {
+		if purged, ok := r.purges[name]; ok {
+			limit := max(now-purged-second/1000, 1000)
+			if age == 0 && (p.fresh == 0 || limit < p.fresh) || limit < age {
+				age = limit
+			}
+		}
+	}
+	return age, renew
+}
+
+// setAge sets an object's accepted age by the design's root and holds it.
+func (r *Router) setAge(now int64, t *Retrieval) {
+	e, p := t.entry, t.product
+	kb := t.SizeKB
+	if kb == 0 {
+		kb = unsizedKB
+	}
+	if len(r.parents) == 0 {
+		kb *= 2
+	}
+	// One over the fresh time at start, as if one purge had been told over that time.
+	span, purges := float64(now-e.born)/1e9, e.purges
+	if p.fresh > 0 {
+		span, purges = span+float64(p.fresh)/1e9, purges+1
+	} else {
+		span = max(span, float64(rateWindow)/1e9)
+	}
+	e.age = math.MaxInt64
+	if mu, lambda := purges/span, r.scaled(now, e); mu > 0 && lambda > 0 {
+		if root := math.Sqrt(2 * exchange * kb / (mu * lambda)); root < 1e9 {
+			e.age = max(int64(root*1e9), second/1000)
+		}
+	}
+	if p.fresh > 0 {
+		e.age = min(e.age, p.fresh)
+	}
+	e.ageEnds = math.MaxInt64
+	if e.age < math.MaxInt64-now {
+		e.ageEnds = now + e.age
+	}
+}
+
+// scaled is the design's λ: the own rate times the routers of the location.
+func (r *Router) scaled(now int64, e *entry) float64 {
+	return r.rate(now, e.count, e.counted) * r.sharers(nil)
+}
+
+// rate turns a decayed count into requests a second; a young router has counted for less than the window.
+func (r *Router) rate(now int64, count float64, counted int64) float64 {
+	span := float64(max(min(now-r.started, rateWindow), second)) / 1e9
+	return fade(count, now-counted, rateWindow) / span
+}
+
+func fade(x float64, since, over int64) float64 { return x * math.Exp(-float64(since)/float64(over)) }
+
+// note counts a retrieval in the rate table. Repeats that clients mark don't count: they would shrink ages
+// while parents strain.
+func (r *Router) note(now int64, t *Retrieval) *entry {
+	key := entryKey{t.Object, t.Part}
+	e := r.table[key]
+	switch {
+	case e == nil:
+		e = &entry{key: key, group: t.Group, born: now, counted: now}
+		r.table[key], e.place = e, r.live.PushFront(e)
+		e.place.Value = e
+	case e.ghost:
+		e.ghost = false
+		r.ghosts.Remove(e.place)
+		e.place = r.live.PushFront(e)
+	default:
+		r.live.MoveToFront(e.place)
+	}
+	if r.live.Len() > tableSize {
+		old := r.live.Remove(r.live.Back()).(*entry)
+		old.ghost, old.age, old.place = true, 0, r.ghosts.PushFront(old)
+	}
+	if r.ghosts.Len() > tableSize {
+		delete(r.table, r.ghosts.Remove(r.ghosts.Back()).(*entry).key)
+	}
+	if !t.Repeat {
+		e.count, e.counted = fade(e.count, now-e.counted, rateWindow)+1, now
+		r.total, r.totalAt = fade(r.total, now-r.totalAt, rateWindow)+1, now
+	}
+	return e
+}
+
+func groupName(group int64) string { return fmt.Sprint("g", group) }
+
+// Purged tells of a purge of one object with all its parts or, with no object, of a group.
+func (r *Router) Purged(now int64, object string, group int64, when int64) {
+	name := "o" + object
+	if object == "" {
+		name = groupName(group)
+	}
+	r.purges[name] = max(r.purges[name], when)
+	r.purgeEnds = append(r.purgeEnds, purgeEnd{name, when + get(r.set, "purge.takes", 10*second) + second/2})
+	for at := r.live.Front(); at != nil; at = at.Next() {
+		if e := at.Value.(*entry); e.key.object == object || object == "" && e.group == group {
+			e.purges++
+			e.ageEnds = now
+		}
+	}
+}
+
+// Listed gives the list of members, whole or changes to it; last marks the list as the router last had it.
+func (r *Router) Listed(now int64, lines []Listing, whole, last bool) {
+	if !last && r.asked {
+		r.subscribed = true
+	}
+	if whole {
+		for _, m := range r.members {
+			m.listed = false
+		}
+	}
+	for _, line := range lines {
+		m := r.members[line.ID]
+		if m == nil {
+			m = &member{heard: now, scored: now}
+			r.members[line.ID] = m
+		}
+		if line.Started > m.Started {
+			// Back from a restart: cold, empty, and no longer judged by what it was before.
+			m.coldFrom, m.good, m.bad, m.suspect, m.heard = line.Started, 0, 0, false, now
+		}
+		m.Listing, m.listed = line, line.Phase != "gone"
+	}
+	kinds := get[[]string](r.set, "kinds", nil)
+	kind := func(name string) string {
+		if i := get(r.set, name, int64(-1)); i >= 0 && i < int64(len(kinds)) {
+			return kinds[i]
+		}
+		return ""
+	}
+	r.caches, r.parents, r.origin = nil, nil, nil
+	for _, m := range r.members {
+		// Rule 3: whoever drains or is gone gets nothing new from now on, and is no source.
+		switch {
+		case !m.listed || m.Phase != "ready":
+		case m.Kind == kind("kind.origin"):
+			if r.origin == nil || m.ID < r.origin.ID {
+				r.origin = m
+			}
+		case m.Kind == kind("kind.parent"):
+			r.parents = append(r.parents, m)
+		case m.Location == r.home:
+			r.caches = append(r.caches, m)
+		}
+	}
+	byID := func(a, b *member) int { return cmp.Compare(a.ID, b.ID) }
+	slices.SortFunc(r.caches, byID)
+	slices.SortFunc(r.parents, byID)
+}
+
+// ListFailed tells that asking for the list failed or the subscription broke; the next tick asks again.
+func (r *Router) ListFailed(now int64) { r.subscribed, r.asked, r.askAt = false, false, now+second/2 }
+
+// Tick does the periodic work and says when to come again.
+func (r *Router) Tick(now int64) (Chores, int64) {
+	var chores Chores
+	if get(r.set, "list.mode", "push") == "ask" && !r.subscribed && !r.asked && now >= r.askAt {
+		r.asked, chores.Subscribe = true, true
+	}
+	for len(r.purgeEnds) > 0 && r.purgeEnds[0].at <= now {
+		end := r.purgeEnds[0]
+		r.purgeEnds = r.purgeEnds[1:]
+		if r.purges[end.name]+get(r.set, "purge.takes", 10*second) <= now {
+			delete(r.purges, end.name)
+		}
+	}
+	for _, m := range slices.Concat(r.caches, r.parents) {
+		r.check(now, m)
+		if m.suspect && !m.trial && now >= m.trialAt && get(r.set, "probe", false) {
+			m.trial = true
+			chores.Probe = append(chores.Probe, m.ID)
+		}
+	}
+	return chores, period
+}
+
+// Probed tells how a probe ended.
+func (r *Router) Probed(now int64, id uint32, good bool, _ []float64) {
+	if m := r.members[id]; m != nil {
+		m.trial = false
+		r.tried(now, m, good)
+	}
+}
+
+// tried takes the result of a suspect's trial.
+func (r *Router) tried(now int64, m *member, good bool) {
+	if !m.suspect {
+		return
+	}
+	if !good {
+		m.backoff = min(2*m.backoff, trialMost)
+		m.trialAt = now + m.backoff
+		return
+	}
+	m.suspect, m.good, m.bad, m.heard = false, 0, 0, now
+	r.log(fmt.Sprintf("member %d trusted again", m.ID))
+}
+
+// judge draws from an outcome what it tells of the cache, the source and the product.
+func (r *Router) judge(now int64, t *Retrieval, d *dispatch, o Outcome) {
+	p := t.product
+	good, badCache, badSource := 0., 0., 0.
+	switch o.Result {
+	case Good, Missing:
+		good = 1
+	case Full:
+		// Without a note it may have been either; the notes 6 to 8 and 10 name the source, 9 the cache.
+		if badCache, badSource = 0.3, 0.5; o.Note >= 6 {
+			if badCache, badSource = 0, 1; o.Note == 9 {
+				badCache, badSource = 0.3, 0
+			}
+		}
+	case Late:
+		badCache, badSource = 0.5, 0.5
+	case Faulty:
+		badCache = 0.5
+	case Unreached, Broken:
+		badCache = 1
+	}
+	if o.Result == Good {
+		p.seen = min(p.seen+1, 200)
+		p.answer += (float64(o.Spent)/1e9 - p.answer) / p.seen
+		if sent := r.sizedTime(t); sent > 0 {
+			p.sending += (sent - p.sending) / p.seen
+		} else if o.Note <= 1 {
+			p.sending += (float64(o.Spent)/1e9 - p.sending) / p.seen
+		}
+		if e := t.entry; o.Note == 2 || o.Note == 3 {
+			e.age = 0
+			r.setAge(now, t)
+		}
+	}
+	for _, m := range []*member{d.cache, d.source} {
+		if m == nil {
+			continue
+		}
+		m.out = slices.DeleteFunc(m.out, func(x *dispatch) bool { return x == d })
+		m.good, m.bad = fade(m.good, now-m.scored, healthSpan), fade(m.bad, now-m.scored, healthSpan)
+		m.scored = now
+		m.good += good
+		bad := badCache
+		if m == d.source {
+			bad = badSource
+		}
+		m.bad += bad
+		if m == d.cache && o.Result != Unreached && o.Result != Late && o.Result < Cancelled && o.Result != Unsent {
+			m.heard = now
+		}
+		if d.trial == m {
+			m.trial = false
+			if good > 0 || bad > 0 {
+				r.tried(now, m, good > 0)
+			}
+		}
+		r.check(now, m)
+	}
+	if t.product.staleSpan > 0 && o.Result != Good {
+		t.stale = true
+	}
+}
+
+// check makes a member suspect by its failures lately or by its silence: a member that hangs, is cut off,
+// gone without word or stands still shows in the same way, whatever lies behind it.
+func (r *Router) check(now int64, m *member) {
+	if m.suspect || m == r.origin {
+		return
+	}
+	silent := 0.
+	for _, d := range m.out {
+		if d.cache == m {
+			silent += min(2, float64(now-max(d.sent, m.heard))/1e9/max(r.meanAnswer(), 0.01))
+		}
+	}
+	good, bad := fade(m.good, now-m.scored, healthSpan), fade(m.bad, now-m.scored, healthSpan)
+	share := 0.5
+	if len(m.out) > 0 && m.Location != r.home {
+		share = 0.2 // most dispatches that name a source need no fill, so few of them tell of it
+	}
+	if silent < silentFrom && (bad < badFrom || bad < share*(good+bad)) {
+		return
+	}
+	m.suspect, m.backoff, m.trial = true, trialFirst, false
+	m.trialAt = now + m.backoff
+	r.log(fmt.Sprintf("member %d suspect: silence %.1f, failures %.1f of %.1f", m.ID, silent, bad, good+bad))
+}
+
+func (r *Router) meanAnswer() float64 {
+	longest := 0.
+	for _, p := range r.products {
+		longest = max(longest, p.answer)
+	}
+	return longest
+}
+
+// sharers is how many routers share a member: those of the location for a cache, all for a parent or the
+// origin.
+func (r *Router) sharers(m *member) float64 {
+	if m == nil || m.Location == r.home {
+		for i, name := range get[[]string](r.set, "locations", nil) {
+			if name == r.home {
+				return float64(max(1, at(r.set, "location.routers", i, int64(1))))
+			}
+		}
+	}
+	return float64(max(1, get(r.set, "routers", int64(1))))
+}
+
+// sizedTime is a retrieval's own sending time in seconds where sizes are told, else 0.
+func (r *Router) sizedTime(t *Retrieval) float64 {
+	return t.SizeKB / max(get(r.set, "clientKBPerS", 1.), 1)
+}
+
+// sendingTime is what a retrieval costs a member's link.
+func (r *Router) sendingTime(t *Retrieval) float64 { return max(t.product.sending, r.sizedTime(t)) }
+
+// fits is rule 4: a member that started lately bears a multiple of what it can do now over the rule's
+// window; each router keeps to its share of that.
+func (r *Router) fits(now int64, m *member, amount float64) bool {
+	share, span := get(r.set, "cold.share", 1.), get(r.set, "cold.span", int64(0))
+	factor, window := get(r.set, "cold.factor", 1.), get(r.set, "cold.window", second)
+	if m != r.origin && m.Location != r.home {
+		share, span = get(r.set, "parent.coldShare", 1.), get(r.set, "parent.coldSpan", int64(0))
+		factor = get(r.set, "parent.coldFactor", factor)
+	}
+	for len(m.spent) > 0 && m.spent[0].at <= now-window {
+		m.spent = m.spent[1:]
+	}
+	if m == r.origin || m.coldFrom == 0 || now >= m.coldFrom+span {
+		return true
+	}
+	capacity := m.Units * (share + (1-share)*float64(max(0, now-m.coldFrom))/float64(span))
+	for _, c := range m.spent {
+		amount += c.amount
+	}
+	return amount <= guardMargin*factor*capacity*float64(window)/1e9/r.sharers(m)
+}
+
+// crowd is how busy a member looks from here: own dispatches in hand for its size.
+func (m *member) crowd() float64 { return float64(len(m.out)) / max(m.Units, 0.01) }
+
+// rank orders members for an object by weighted rendezvous hashing: a lost member's objects spread over all
+// others. It is the same at every router.
+func rank(key entryKey, members []*member) []*member {
+	scores := make(map[*member]float64, len(members))
+	for _, m := range members {
+		h := fnv.New64a()
+		h.Write([]byte(key.object))
+		h.Write(binary.LittleEndian.AppendUint64(nil, uint64(key.part)))
+		h.Write(binary.LittleEndian.AppendUint32(nil, m.ID))
+		x := h.Sum64()
+		x = (x ^ x>>33) * 0xff51afd7ed558ccd
+		x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
+		scores[m] = -math.Log((float64(x>>11) + 0.5) / (1 << 53))
+	}
+	ranked := slices.Clone(members)
+	slices.SortFunc(ranked, func(a, b *member) int {
+		return cmp.Or(cmp.Compare(scores[a], scores[b]), cmp.Compare(a.ID, b.ID))
+	})
+	return ranked
+}
+
+// chance is a draw from [0, 1) of the instance's own.
+func (r *Router) chance() float64 {
+	r.draws++
+	b := binary.LittleEndian.AppendUint64(nil, r.seed)
+	return float64(crc32.ChecksumIEEE(binary.LittleEndian.AppendUint32(b, r.draws))) / (1 << 32)
+}
--- /dev/null
+++ b/control/types.go
@@ -0,0 +1,212 @@
+package control
+
+import "container/list"
+
+// Settings is what a router is told when it starts: names to plain values. Times are int64 nanoseconds,
+// shares and factors float64, counts int64, switches bool, names string; lists by product or location are
+// slices of these.
+type Settings map[string]any
+
+// Listing is one line of the list of members.
+type Listing struct {
+	ID       uint32
+	Location string
+	Kind     string
+	Cell     int64
+	Phase    string // ready, draining or gone
+	Units    float64
+	Started  int64 // when it last started; 0 is long ago
+}
+
+// Retrieval is one thing a client asked for. The adapter fills in the exported fields and hands the same
+// pointer to every call; the rest belongs to the module.
+type Retrieval struct {
+	Product  string
+	Tenant   string
+	Object   string
+	Group    int64
+	Part     int64
+	SizeKB   float64 // 0: not told
+	HardStop int64   // when the client gives up on this try
+	Repeat   bool    // marked as a client's repeat
+	Write    bool
+
+	progress
+}
+
+// Verdict says what a Decision asks of the adapter.
+type Verdict int
+
+// The verdicts. Wait leaves the retrieval as it is; Send starts Dispatch; Dismiss and Abort are final
+// answers.
+const (
+	Wait Verdict = iota
+	Send
+	Dismiss
+	Abort
+)
+
+// Dispatch tells where a retrieval goes and on which terms.
+type Dispatch struct {
+	Cache    uint32
+	Plain    bool // ask only for what the cache holds; the fields below up to Within are unused
+	Source   uint32
+	Rank     int64
+	Age      int64 // oldest copy that will do; 0 is the product's fresh time
+	Join     bool  // wait for a fill under way
+	Renew    bool  // serve an ageing copy and fetch it anew behind
+	Held     bool  // the source gives only what it holds
+	NoParent bool  // the parent keeps no copy
+	Within   int64 // this dispatch's time-out; 0 is until the client gives up
+}
+
+// Decision is the module's answer to Where and After.
+type Decision struct {
+	Verdict  Verdict
+	Dispatch Dispatch // with Send
+	Advice   int64    // with Dismiss: how long the client should stay away; 0 is no advice
+	Cancel   []int    // dispatches to call off, by their number in this retrieval
+}
+
+// Result is how a dispatch ended.
+type Result int
+
+// The results; those up to Unsent prove that nothing ran.
+const (
+	Full Result = iota
+	Unreached
+	Missing
+	Unsent
+	Good
+	Faulty
+	Late
+	Broken
+	Cancelled
+)
+
+// Outcome tells how one dispatch of a retrieval ended.
+type Outcome struct {
+	Number int // which dispatch of the retrieval, from 0
+	Result Result
+	Spent  int64
+	Closed bool // the retrieval is finished by this or before
+	Note   int64
+	Waited int64     // time to the source's first byte
+	Load   []float64 // the load report, in the order of the setting report.fields; nil if none
+}
+
+// Chores is what a router wants done after a periodic tick.
+type Chores struct {
+	Probe     []uint32
+	Subscribe bool
+}
+
+// From here on: what the module keeps.
+
+type product struct {
+	place                           int
+	name                            string
+	due, hardStop, fresh, staleSpan int64
+	window                          int64
+	dueStretch, payoff              float64
+	effect, scope                   string
+	neverKept, streamed             bool
+	sending, answer                 float64 // mean sending and answer time, seconds
+	seen                            float64
+}
+
+type member struct {
+	Listing
+	listed    bool
+	coldFrom  int64 // when it started, told or inferred; 0 is long ago
+	good, bad float64
+	scored    int64
+	heard     int64 // when it last answered
+	out       []*dispatch
+	suspect   bool
+	trialAt   int64
+	backoff   int64
+	trial     bool // a trial is out
+	spent     []charge
+}
+
+// charge is work sent to a member, in seconds of sending time.
+type charge struct {
+	at     int64
+	amount float64
+}
+
+type dispatch struct {
+	sent          int64
+	cache, source *member
+	trial         *member
+	ended         bool
+	mayHaveRun    bool
+}
+
+// entry is one object of the rate table: a part is filled and kept on its own, so each is an object to the
+// design.
+type entry struct {
+	key     entryKey
+	group   int64
+	count   float64 // requests, decayed over the window
+	counted int64
+	born    int64
+	purges  float64
+	age     int64 // accepted age, held until ageEnds; 0 is not set
+	ageEnds int64
+	ghost   bool
+	place   *list.Element
+}
+
+type entryKey struct {
+	object string
+	part   int64
+}
+
+// progress is what the module keeps of a retrieval.
+type progress struct {
+	product    *product
+	entry      *entry
+	arrived    int64
+	payoff     float64
+	dispatches []*dispatch
+	out        int
+	streaming  bool
+	done       bool
+	held       bool
+	stale      bool // a copy past its fresh time will do
+}
+
+// Router is one router's decisions.
+type Router struct {
+	set               Settings
+	log               func(string)
+	seed              uint64
+	draws             uint32
+	started           int64
+	home              string
+	products          map[string]*product
+	members           map[uint32]*member
+	caches, parents   []*member // ready, of the own location; ready, anywhere
+	origin            *member
+	table             map[entryKey]*entry
+	live, ghosts      *list.List
+	total             float64 // all requests, decayed over the window
+	totalAt           int64
+	purges            map[string]int64 // told purges by object, and by group under its number
+	purgeEnds         []purgeEnd
+	subscribed, asked bool
+	askAt             int64
+	tenants           map[string]*tenant
+}
+
+type purgeEnd struct {
+	name string
+	at   int64
+}
+
+type tenant struct {
+	quota, count float64
+	counted      int64
+}
