--- a/control/control.go
+++ b/control/control.go
@@ -20,7 +20,8 @@
 
 const (
 	second = int64(1e9)
-	period = second / 10 // of the one periodic timer
+	period   = second / 10 // of the one periodic timer
+	holdStep = second / 20 // between two looks at a held retrieval
 
 	exchange   = 4e-4 // the design's c: missed updates that one KB of filling is worth
 	unsizedKB  = 500. // the design's b where sizes are not told
@@ -136,7 +137,7 @@
 	case t.done || t.streaming || t.product == nil:
 		return 0
 	case t.held:
-		return second / 20
+		return holdStep
 	case t.out > 0:
 		first := int64(2 * t.product.answer * 1e9)
 		return max(first-(now-t.dispatches[len(t.dispatches)-1].sent), period)
@@ -169,8 +170,9 @@
 	}
 	cache, source := r.place(now, t)
 	if cache == nil {
-		// Nothing usable now (empty list, all cold and at their budget): wait while it can still be in time.
-		if t.held = now < t.arrived+t.product.due/2; t.held {
+		// Nothing usable now (empty list, all cold and at their budget): wait while it can still be in time,
+		// and never past the client's own time, which may be short on a repeat (it was lost so once).
+		if t.held = now < t.arrived+t.product.due/2 && now+2*holdStep < t.HardStop; t.held {
 			return Decision{}
 		}
 		return r.giveUp(t)
