Bound further dispatches by a budget that first ones put aside, by payoff

Cause: each retrieval turned away as full went out again at once, up to 4 times, and kept the jam alive. Helps, not enough: members are also made suspect in flurries.

--- a/control/control.go
+++ b/control/control.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	second = int64(1e9)
+	second   = int64(1e9)
 	period   = second / 10 // of the one periodic timer
 	holdStep = second / 20 // between two looks at a held retrieval
 
@@ -30,12 +30,14 @@
 	renewFrom  = 1.  // λ·age from which a copy is renewed behind
 	hotShare   = 0.1 // of this router's requests per cache
 
-	silentFrom  = 6.  // evidence of silence from which a member is suspect: e^-6 by chance
-	badFrom     = 2.5 // failures, lately, from which a member is suspect
-	healthSpan  = 4 * second
-	trialFirst  = second // until a suspect is tried again; doubles up to trialMost
-	trialMost   = 8 * second
-	guardMargin = 0.6 // part of a cold budget that is used: weights are rough, and chance needs room
+	silentFrom   = 6.  // evidence of silence from which a member is suspect: e^-6 by chance
+	badFrom      = 2.5 // failures, lately, from which a member is suspect
+	healthSpan   = 4 * second
+	trialFirst   = second // until a suspect is tried again; doubles up to trialMost
+	trialMost    = 8 * second
+	furtherShare = 0.15 // further dispatches that each first one of best payoff puts aside
+	furtherMost  = 10.
+	guardMargin  = 0.6 // part of a cold budget that is used: weights are rough, and chance needs room
 )
 
 func get[T any](s Settings, name string, fallback T) T {
@@ -64,7 +66,7 @@
 	r := &Router{set: set, log: log, seed: seed, started: now, home: get(set, "location", ""),
 		products: map[string]*product{}, members: map[uint32]*member{}, table: map[entryKey]*entry{},
 		live: list.New(), ghosts: list.New(), totalAt: now, purges: map[string]int64{},
-		tenants: map[string]*tenant{}}
+		tenants: map[string]*tenant{}, spare: furtherMost}
 	for i, name := range get[[]string](set, "product.names", nil) {
 		due := at(set, "product.due", i, int64(0))
 		r.products[name] = &product{place: i, name: name, due: due, hardStop: at(set, "product.hardStop", i, due),
@@ -177,9 +179,27 @@
 		}
 		return r.giveUp(t)
 	}
+	if !r.afford(t) {
+		return r.giveUp(t)
+	}
 	return r.send(now, t, cache, source)
 }
 
+// afford draws a further dispatch from what first ones have put aside, by payoff. Without this bound a jam feeds
+// on itself: what is turned away comes again at once and crowds out what would be in time. It covers any cause
+// of widespread failure; it hurts where one cache of few fails and more could have been saved elsewhere.
+func (r *Router) afford(t *Retrieval) bool {
+	if len(t.dispatches) == 0 {
+		r.spare = min(r.spare+furtherShare*t.payoff/r.bestPayoff(t), furtherMost)
+		return true
+	}
+	if r.spare < 1 {
+		return false
+	}
+	r.spare--
+	return true
+}
+
 // rethink looks after a retrieval whose dispatch is out: if the cache or the source has become suspect
 // since, it goes elsewhere, beside the first where that is allowed, else in its place.
 func (r *Router) rethink(now int64, t *Retrieval) Decision {
@@ -203,7 +223,7 @@
 		return Decision{}
 	}
 	cache, source := r.place(now, t)
-	if cache == nil {
+	if cache == nil || !r.afford(t) {
 		return Decision{}
 	}
 	return r.send(now, t, cache, source)
@@ -211,11 +231,15 @@
 
 // most is how many dispatches a retrieval may have, by its payoff.
 func (r *Router) most(t *Retrieval) int {
+	return min(int(get(r.set, "dispatches.most", int64(3))), 2+int(2*t.payoff/r.bestPayoff(t)))
+}
+
+func (r *Router) bestPayoff(t *Retrieval) float64 {
 	best := t.payoff
 	for _, p := range r.products {
 		best = max(best, p.payoff)
 	}
-	return min(int(get(r.set, "dispatches.most", int64(3))), 2+int(2*t.payoff/best))
+	return best
 }
 
 // repeatable tells whether a further dispatch can do no harm: rule 2.
--- a/control/types.go
+++ b/control/types.go
@@ -199,6 +199,7 @@
 	subscribed, asked bool
 	askAt             int64
 	tenants           map[string]*tenant
+	spare             float64 // further dispatches put aside
 }
 
 type purgeEnd struct {
