Suspect only a member that stands out from its peers

Cause: in a jam every cache and parent looked silent or failing in turn; objects lost their homes and parents were refilled from the origin. Should also cover slow origins and late reports; may hurt where most of a tier fails at once.

--- a/control/control.go
+++ b/control/control.go
@@ -33,6 +33,7 @@
 	silentFrom   = 6.  // evidence of silence from which a member is suspect: e^-6 by chance
 	badFrom      = 2.5 // failures, lately, from which a member is suspect
 	healthSpan   = 4 * second
+	standOut     = 2.     // how far beyond its peers' mean a suspect must stand out
 	trialFirst   = second // until a suspect is tried again; doubles up to trialMost
 	trialMost    = 8 * second
 	furtherShare = 0.15 // further dispatches that each first one of best payoff puts aside
@@ -669,24 +670,32 @@
 	}
 }
 
-// check makes a member suspect by its failures lately or by its silence: a member that hangs, is cut off,
-// gone without word or stands still shows in the same way, whatever lies behind it.
+// check makes a member suspect by its failures lately or by its silence: a member that hangs, is cut off, gone
+// without word or stands still shows in the same way, whatever lies behind it. What its peers show at the same
+// time is no evidence against it: in a jam all looked suspect in turn and objects lost their homes. It hurts
+// where most members of a tier fail at once; then nobody is suspect and further dispatches must find the rest.
 func (r *Router) check(now int64, m *member) {
 	if m.suspect || m == r.origin {
 		return
 	}
-	silent := 0.
-	for _, d := range m.out {
-		if d.cache == m {
-			silent += min(2, float64(now-max(d.sent, m.heard))/1e9/max(r.meanAnswer(), 0.01))
-		}
+	peers, share := r.caches, 0.4
+	if m.Location != r.home {
+		peers, share = r.parents, 0.2 // few dispatches that name a source need a fill and tell of it
 	}
-	good, bad := fade(m.good, now-m.scored, healthSpan), fade(m.bad, now-m.scored, healthSpan)
-	share := 0.5
-	if len(m.out) > 0 && m.Location != r.home {
-		share = 0.2 // most dispatches that name a source need no fill, so few of them tell of it
+	silent, good, bad := r.signs(now, m)
+	if silent < silentFrom && bad < badFrom {
+		return
+	}
+	var allSilent, allGood, allBad float64
+	for _, peer := range peers {
+		if peer != m {
+			s, g, b := r.signs(now, peer)
+			allSilent, allGood, allBad = allSilent+s, allGood+g, allBad+b
+		}
 	}
-	if silent < silentFrom && (bad < badFrom || bad < share*(good+bad)) {
+	silent -= standOut * allSilent / float64(max(1, len(peers)-1))
+	apart := bad/(good+bad) - standOut*allBad/max(allGood+allBad, 1)
+	if silent < silentFrom && (bad < badFrom || apart < share) {
 		return
 	}
 	m.suspect, m.backoff, m.trial = true, trialFirst, false
@@ -694,6 +703,16 @@
 	r.log(fmt.Sprintf("member %d suspect: silence %.1f, failures %.1f of %.1f", m.ID, silent, bad, good+bad))
 }
 
+// signs is the evidence on a member: the silence of what it has in hand, in answer times, and how it fared lately.
+func (r *Router) signs(now int64, m *member) (silent, good, bad float64) {
+	for _, d := range m.out {
+		if d.cache == m {
+			silent += min(2, float64(now-max(d.sent, m.heard))/1e9/max(r.meanAnswer(), 0.01))
+		}
+	}
+	return silent, fade(m.good, now-m.scored, healthSpan), fade(m.bad, now-m.scored, healthSpan)
+}
+
 func (r *Router) meanAnswer() float64 {
 	longest := 0.
 	for _, p := range r.products {
