Keep likely fills in hand to what the location's link brings in time

Cause: with empty caches, purges, hot or slow fills all fills crowded the link, all got late, clients came again. What was not served lately is held for a moment and dismissed beyond a share of the caches' size. Also cut to size: one pick for caches and sources.

--- a/control/control.go
+++ b/control/control.go
@@ -38,7 +38,10 @@
 	trialMost    = 8 * second
 	furtherShare = 0.15 // further dispatches that each first one of best payoff puts aside
 	furtherMost  = 10.
-	guardMargin  = 0.6 // part of a cold budget that is used: weights are rough, and chance needs room
+	keepSpan     = 10 * second // for so long an object served is taken to be kept
+	fillRoom     = 0.6         // fills in hand for the caches' size
+	fillLeast    = 0.7         // part of that for what earns least for its bytes
+	guardMargin  = 0.6         // part of a cold budget that is used: weights are rough, and chance needs room
 )
 
 func get[T any](s Settings, name string, fallback T) T {
@@ -69,14 +72,12 @@
 		live: list.New(), ghosts: list.New(), totalAt: now, purges: map[string]int64{},
 		tenants: map[string]*tenant{}, spare: furtherMost}
 	for i, name := range get[[]string](set, "product.names", nil) {
-		due := at(set, "product.due", i, int64(0))
-		r.products[name] = &product{place: i, name: name, due: due, hardStop: at(set, "product.hardStop", i, due),
-			fresh: at(set, "product.fresh", i, int64(0)), staleSpan: at(set, "product.staleSpan", i, int64(0)),
-			window: at(set, "product.window", i, int64(0)), dueStretch: at(set, "product.dueStretch", i, 0.),
+		due, none := at(set, "product.due", i, second), int64(0)
+		r.products[name] = &product{due: due, fresh: at(set, "product.fresh", i, none),
+			staleSpan: at(set, "product.staleSpan", i, none), window: at(set, "product.window", i, none),
 			payoff: at(set, "product.payoff", i, 1.), effect: at(set, "product.effect", i, "one-shot"),
 			scope: at(set, "product.scope", i, "cell"), neverKept: at(set, "product.neverKept", i, false),
-			streamed: at(set, "product.streamed", i, false),
-			sending:  float64(due) / 1e9, answer: float64(due) / 1e9, seen: 10}
+			sending: float64(due) / 1e9, answer: float64(due) / 1e9, seen: 10}
 	}
 	for i, name := range get[[]string](set, "tenant.names", nil) {
 		r.tenants[name] = &tenant{quota: at(set, "tenant.quota", i, math.Inf(1)), counted: now}
@@ -117,16 +118,13 @@
 	d := t.dispatches[o.Number]
 	d.ended, d.mayHaveRun = true, o.Result > Unsent
 	t.out--
+	if d.filling {
+		r.filling--
+	}
 	r.judge(now, t, d, o)
 	if o.Closed || t.done {
 		t.done = true
-		var rest []int
-		for i, other := range t.dispatches {
-			if !other.ended && get(r.set, "cancel", false) && !t.streaming {
-				rest = append(rest, i)
-			}
-		}
-		return Decision{Cancel: rest}
+		return r.callOff(t, -1)
 	}
 	if t.out > 0 || t.streaming {
 		return Decision{}
@@ -155,26 +153,32 @@
 // off.
 func (r *Router) Streaming(now int64, t *Retrieval, number int) Decision {
 	t.streaming = true
-	var rest []int
-	for i, d := range t.dispatches {
-		if i == number {
-			d.cache.heard = now
-		} else if !d.ended && get(r.set, "cancel", false) {
-			rest = append(rest, i)
+	if number >= 0 && number < len(t.dispatches) {
+		t.dispatches[number].cache.heard = now
+	}
+	return r.callOff(t, number)
+}
+
+// callOff ends what else of a finished retrieval is out.
+func (r *Router) callOff(t *Retrieval, but int) (d Decision) {
+	for i, other := range t.dispatches {
+		if !other.ended && i != but && get(r.set, "cancel", false) {
+			d.Cancel = append(d.Cancel, i)
 		}
 	}
-	return Decision{Cancel: rest}
+	return d
 }
 
 // next picks the next dispatch of a retrieval that has none out, or holds it, or gives it up.
 func (r *Router) next(now int64, t *Retrieval) Decision {
-	if now >= t.HardStop || len(t.dispatches) >= r.most(t) || !r.repeatable(now, t) {
+	if !r.repeatable(now, t) {
 		return r.giveUp(t)
 	}
 	cache, source := r.place(now, t)
-	if cache == nil {
-		// Nothing usable now (empty list, all cold and at their budget): wait while it can still be in time,
-		// and never past the client's own time, which may be short on a repeat (it was lost so once).
+	if cache == nil || !r.room(now, t) {
+		// Nothing usable now (empty list, all cold and at their budget, fills crowded): wait while it can
+		// still be in time, and never past the client's own time, which may be short on a repeat (it was
+		// lost so once).
 		if t.held = now < t.arrived+t.product.due/2 && now+2*holdStep < t.HardStop; t.held {
 			return Decision{}
 		}
@@ -186,12 +190,34 @@
 	return r.send(now, t, cache, source)
 }
 
-// afford draws a further dispatch from what first ones have put aside, by payoff. Without this bound a jam feeds
-// on itself: what is turned away comes again at once and crowds out what would be in time. It covers any cause
-// of widespread failure; it hurts where one cache of few fails and more could have been saved elsewhere.
+// room keeps the fills in hand to what the location's link can bring in time: beyond that all fills get late
+// together, the clients come again, and the jam outlives its cause. What was served lately counts as a hit
+// and passes. Of the rest the products that earn least for their sending time are held and dismissed first.
+// It covers crowding by large, hot or once-only objects, empty caches, purges and a slow source; it hurts
+// where the link is wider than guessed.
+func (r *Router) room(now int64, t *Retrieval) bool {
+	if t.entry.servedUntil > now || len(r.caches) == 0 {
+		return true
+	}
+	units := 0.
+	for _, m := range r.caches {
+		units += m.Units
+	}
+	limit := fillRoom * units / r.sharers(nil)
+	best := r.most(func(p *product) float64 { return p.payoff / p.sending })
+	if t.payoff/r.sendingTime(t) < best/2 {
+		limit *= fillLeast
+	}
+	return float64(r.filling) < max(limit, 1)
+}
+
+// afford draws a further dispatch from what first ones have put aside, by payoff. Without this bound a jam
+// feeds on itself: what is turned away comes again at once and crowds out what would be in time. It covers
+// any cause of widespread failure; it hurts where one cache of few fails and more could have been saved
+// elsewhere.
 func (r *Router) afford(t *Retrieval) bool {
 	if len(t.dispatches) == 0 {
-		r.spare = min(r.spare+furtherShare*t.payoff/r.bestPayoff(t), furtherMost)
+		r.spare = min(r.spare+furtherShare*t.payoff/r.most(payoff), furtherMost)
 		return true
 	}
 	if r.spare < 1 {
@@ -214,7 +240,7 @@
 		}
 		stuck = append(stuck, i)
 	}
-	if len(t.dispatches) >= r.most(t) || !r.repeatable(now, t) || now >= t.HardStop {
+	if !r.repeatable(now, t) {
 		return Decision{}
 	}
 	if !get(r.set, "dispatches.together", false) {
@@ -223,28 +249,30 @@
 		}
 		return Decision{}
 	}
-	cache, source := r.place(now, t)
-	if cache == nil || !r.afford(t) {
-		return Decision{}
+	if cache, source := r.place(now, t); cache != nil && r.afford(t) {
+		return r.send(now, t, cache, source)
 	}
-	return r.send(now, t, cache, source)
-}
-
-// most is how many dispatches a retrieval may have, by its payoff.
-func (r *Router) most(t *Retrieval) int {
-	return min(int(get(r.set, "dispatches.most", int64(3))), 2+int(2*t.payoff/r.bestPayoff(t)))
+	return Decision{}
 }
 
-func (r *Router) bestPayoff(t *Retrieval) float64 {
-	best := t.payoff
+// most is the largest of a figure over the products.
+func (r *Router) most(figure func(*product) float64) float64 {
+	best := 0.01
 	for _, p := range r.products {
-		best = max(best, p.payoff)
+		best = max(best, figure(p))
 	}
 	return best
 }
 
-// repeatable tells whether a further dispatch can do no harm: rule 2.
+func payoff(p *product) float64 { return p.payoff }
+
+// repeatable tells whether a further dispatch is allowed, by its number and payoff, and can do no harm: rule
+// 2.
 func (r *Router) repeatable(now int64, t *Retrieval) bool {
+	allowed := min(int(get(r.set, "dispatches.most", int64(3))), 2+int(2*t.payoff/r.most(payoff)))
+	if len(t.dispatches) >= allowed || now >= t.HardStop {
+		return false
+	}
 	for _, d := range t.dispatches {
 		if d.ended && !d.mayHaveRun || t.product.effect == "harmless" {
 			continue
@@ -286,62 +314,37 @@
 
 // place picks the cache and the fill source by the object's hash.
 func (r *Router) place(now int64, t *Retrieval) (cache, source *member) {
-	untouched := t.product.neverKept || t.Write
-	amount := r.sendingTime(t)
-	ranked := rank(t.entry.key, r.caches)
-	spread := 1
-	share := hotShare * r.rate(now, r.total, r.totalAt) / float64(max(1, len(ranked)))
-	if !untouched && share > 0 {
-		if own := r.rate(now, t.entry.count, t.entry.counted); own > 2*share {
-			spread = 3
-		} else if own > share {
-			spread = 2
-		}
-	}
-	if first := ranked[:min(spread, len(ranked))]; len(first) > 1 {
-		slices.SortStableFunc(first, func(a, b *member) int { return cmp.Compare(a.crowd(), b.crowd()) })
-	}
-	may := func(m *member) bool { return sameGroup(t, m) }
-	cache = r.pick(now, t, ranked, amount, func(m *member) bool { return may(m) && !tried(t, m, false) })
-	if cache == nil {
-		cache = r.pick(now, t, ranked, amount, may)
-	}
-	if cache == nil {
+	ranked, spread := rank(t.entry.key, r.caches), 1
+	if n := float64(len(ranked)); n > 1 && !t.product.neverKept && !t.Write {
+		// A hot object goes to two or three caches, the least busy of them.
+		hot := r.rate(now, t.entry.count, t.entry.counted) * n / (hotShare * r.rate(now, r.total, r.totalAt))
+		spread = max(1, min(1+int(hot), 3, len(ranked)))
+	}
+	slices.SortStableFunc(ranked[:min(spread, len(ranked))], func(a, b *member) int {
+		return cmp.Compare(float64(len(a.out))/max(a.Units, 0.01), float64(len(b.out))/max(b.Units, 0.01))
+	})
+	if cache = r.pick(now, t, ranked); cache == nil {
 		return nil, nil
 	}
 	sources := rank(t.entry.key, r.parents)
 	if r.origin != nil {
 		sources = append(sources, r.origin)
 	}
-	source = r.pick(now, t, sources, amount, func(m *member) bool { return !tried(t, m, true) })
-	if source == nil {
-		source = r.pick(now, t, sources, amount, func(*member) bool { return true })
-	}
-	return cache, source
-}
-
-// tried tells whether a dispatch of t went to m, or named it as source, and did not succeed.
-func tried(t *Retrieval, m *member, asSource bool) bool {
-	for _, d := range t.dispatches {
-		if !asSource && d.cache == m || asSource && d.source == m {
-			return true
-		}
-	}
-	return false
+	return cache, r.pick(now, t, sources)
 }
 
-// pick takes the first member that is not suspect and within its cold budget; a suspect that is due for a
-// trial is taken in its turn; if all are suspect, the first within its budget: then something else is wrong
-// than they.
-func (r *Router) pick(now int64, t *Retrieval, ranked []*member, amount float64,
-	ok func(*member) bool) *member {
-	var fallback *member
+// pick takes the first member that is within its cold budget, not suspect and not tried for this retrieval
+// before; a suspect that is due for a trial is taken in its turn. If there is none, the first within its
+// budget: where all are suspect, something else is wrong than they.
+func (r *Router) pick(now int64, t *Retrieval, ranked []*member) (fallback *member) {
 	for _, m := range ranked {
-		if !ok(m) || !r.fits(now, m, amount) {
+		if !r.fits(now, m, r.sendingTime(t)) || m.Location == r.home && !sameGroup(t, m) {
 			continue
 		}
 		r.check(now, m)
-		if !m.suspect || now >= m.trialAt && !m.trial && len(t.dispatches) == 0 && !get(r.set, "probe", false) {
+		tried := slices.ContainsFunc(t.dispatches, func(d *dispatch) bool { return d.cache == m || d.source == m })
+		trial := now >= m.trialAt && !m.trial && len(t.dispatches) == 0 && !get(r.set, "probe", false)
+		if !tried && (!m.suspect || trial) {
 			return m
 		}
 		if fallback == nil {
@@ -353,7 +356,10 @@
 
 func (r *Router) send(now int64, t *Retrieval, cache, source *member) Decision {
 	t.held = false
-	d := &dispatch{sent: now, cache: cache, source: source}
+	d := &dispatch{sent: now, cache: cache, source: source, filling: t.entry.servedUntil <= now}
+	if d.filling {
+		r.filling++
+	}
 	t.dispatches = append(t.dispatches, d)
 	t.out++
 	out := Dispatch{Cache: cache.ID, Within: t.HardStop - now}
@@ -407,8 +413,7 @@
 	// time.
 	for _, name := range []string{"o" + t.Object, groupName(t.Group)} {
 		if purged, ok := r.purges[name]; ok {
-			limit := max(now-purged-second/1000, 1000)
-			if age == 0 && (p.fresh == 0 || limit < p.fresh) || limit < age {
+			if limit := max(now-purged-second/1000, 1000); age == 0 || limit < age {
 				age = limit
 			}
 		}
@@ -419,10 +424,7 @@
 // setAge sets an object's accepted age by the design's root and holds it.
 func (r *Router) setAge(now int64, t *Retrieval) {
 	e, p := t.entry, t.product
-	kb := t.SizeKB
-	if kb == 0 {
-		kb = unsizedKB
-	}
+	kb := cmp.Or(t.SizeKB, unsizedKB)
 	if len(r.parents) == 0 {
 		kb *= 2
 	}
@@ -505,7 +507,7 @@
 	for at := r.live.Front(); at != nil; at = at.Next() {
 		if e := at.Value.(*entry); e.key.object == object || object == "" && e.group == group {
 			e.purges++
-			e.ageEnds = now
+			e.ageEnds, e.servedUntil = now, 0
 		}
 	}
 }
@@ -528,7 +530,8 @@
 		}
 		if line.Started > m.Started {
 			// Back from a restart: cold, empty, and no longer judged by what it was before.
-			m.coldFrom, m.good, m.bad, m.suspect, m.heard = line.Started, 0, 0, false, now
+			m.coldFrom, m.good, m.bad, m.heard = line.Started, 0, 0, now
+			m.suspect, m.trial = false, false
 		}
 		m.Listing, m.listed = line, line.Phase != "gone"
 	}
@@ -636,30 +639,27 @@
 		} else if o.Note <= 1 {
 			p.sending += (float64(o.Spent)/1e9 - p.sending) / p.seen
 		}
+		t.entry.servedUntil = now + keepSpan
 		if e := t.entry; o.Note == 2 || o.Note == 3 {
 			e.age = 0
 			r.setAge(now, t)
 		}
 	}
-	for _, m := range []*member{d.cache, d.source} {
+	for i, m := range []*member{d.cache, d.source} {
 		if m == nil {
 			continue
 		}
+		bad := []float64{badCache, badSource}[i]
 		m.out = slices.DeleteFunc(m.out, func(x *dispatch) bool { return x == d })
-		m.good, m.bad = fade(m.good, now-m.scored, healthSpan), fade(m.bad, now-m.scored, healthSpan)
+		m.good = fade(m.good, now-m.scored, healthSpan) + good
+		m.bad = fade(m.bad, now-m.scored, healthSpan) + bad
 		m.scored = now
-		m.good += good
-		bad := badCache
-		if m == d.source {
-			bad = badSource
-		}
-		m.bad += bad
-		if m == d.cache && o.Result != Unreached && o.Result != Late && o.Result < Cancelled && o.Result != Unsent {
+		if m == d.cache && !slices.Contains([]Result{Unreached, Late, Cancelled, Unsent}, o.Result) {
 			m.heard = now
 		}
 		if d.trial == m {
 			m.trial = false
-			if good > 0 || bad > 0 {
+			if good+bad > 0 {
 				r.tried(now, m, good > 0)
 			}
 		}
@@ -670,10 +670,11 @@
 	}
 }
 
-// check makes a member suspect by its failures lately or by its silence: a member that hangs, is cut off, gone
-// without word or stands still shows in the same way, whatever lies behind it. What its peers show at the same
-// time is no evidence against it: in a jam all looked suspect in turn and objects lost their homes. It hurts
-// where most members of a tier fail at once; then nobody is suspect and further dispatches must find the rest.
+// check makes a member suspect by its failures lately or by its silence: a member that hangs, is cut off,
+// gone without word or stands still shows in the same way, whatever lies behind it. What its peers show at
+// the same time is no evidence against it: in a jam all looked suspect in turn and objects lost their homes.
+// It hurts where most members of a tier fail at once; then nobody is suspect and further dispatches must
+// find the rest.
 func (r *Router) check(now int64, m *member) {
 	if m.suspect || m == r.origin {
 		return
@@ -703,24 +704,18 @@
 	r.log(fmt.Sprintf("member %d suspect: silence %.1f, failures %.1f of %.1f", m.ID, silent, bad, good+bad))
 }
 
-// signs is the evidence on a member: the silence of what it has in hand, in answer times, and how it fared lately.
+// signs is the evidence on a member: the silence of what it has in hand, in answer times, and how it fared
+// lately.
 func (r *Router) signs(now int64, m *member) (silent, good, bad float64) {
+	answer := r.most(func(p *product) float64 { return p.answer })
 	for _, d := range m.out {
 		if d.cache == m {
-			silent += min(2, float64(now-max(d.sent, m.heard))/1e9/max(r.meanAnswer(), 0.01))
+			silent += min(2, float64(now-max(d.sent, m.heard))/1e9/answer)
 		}
 	}
 	return silent, fade(m.good, now-m.scored, healthSpan), fade(m.bad, now-m.scored, healthSpan)
 }
 
-func (r *Router) meanAnswer() float64 {
-	longest := 0.
-	for _, p := range r.products {
-		longest = max(longest, p.answer)
-	}
-	return longest
-}
-
 // sharers is how many routers share a member: those of the location for a cache, all for a parent or the
 // origin.
 func (r *Router) sharers(m *member) float64 {
@@ -767,19 +762,16 @@
 // crowd is how busy a member looks from here: own dispatches in hand for its size.
 func (m *member) crowd() float64 { return float64(len(m.out)) / max(m.Units, 0.01) }
 
-// rank orders members for an object by weighted rendezvous hashing: a lost member's objects spread over all
+// rank orders members for an object by rendezvous hashing: a lost member's objects spread over all
 // others. It is the same at every router.
 func rank(key entryKey, members []*member) []*member {
-	scores := make(map[*member]float64, len(members))
+	h := fnv.New64a()
+	h.Write(binary.LittleEndian.AppendUint64([]byte(key.object), uint64(key.part)))
+	scores := make(map[*member]uint64, len(members))
 	for _, m := range members {
-		h := fnv.New64a()
-		h.Write([]byte(key.object))
-		h.Write(binary.LittleEndian.AppendUint64(nil, uint64(key.part)))
-		h.Write(binary.LittleEndian.AppendUint32(nil, m.ID))
-		x := h.Sum64()
-		x = (x ^ x>>33) * 0xff51afd7ed558ccd
+		x := (h.Sum64() ^ uint64(m.ID)) * 0xff51afd7ed558ccd
 		x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
-		scores[m] = -math.Log((float64(x>>11) + 0.5) / (1 << 53))
+		scores[m] = x ^ x>>33
 	}
 	ranked := slices.Clone(members)
 	slices.SortFunc(ranked, func(a, b *member) int {
--- a/control/types.go
+++ b/control/types.go
@@ -104,15 +104,12 @@
 // From here on: what the module keeps.
 
 type product struct {
-	place                           int
-	name                            string
-	due, hardStop, fresh, staleSpan int64
-	window                          int64
-	dueStretch, payoff              float64
-	effect, scope                   string
-	neverKept, streamed             bool
-	sending, answer                 float64 // mean sending and answer time, seconds
-	seen                            float64
+	due, fresh, staleSpan, window int64
+	payoff                        float64
+	effect, scope                 string
+	neverKept                     bool
+	sending, answer               float64 // mean sending and answer time, seconds
+	seen                          float64
 }
 
 type member struct {
@@ -142,21 +139,23 @@
 	trial         *member
 	ended         bool
 	mayHaveRun    bool
+	filling       bool // counted among the fills in hand
 }
 
 // entry is one object of the rate table: a part is filled and kept on its own, so each is an object to the
 // design.
 type entry struct {
-	key     entryKey
-	group   int64
-	count   float64 // requests, decayed over the window
-	counted int64
-	born    int64
-	purges  float64
-	age     int64 // accepted age, held until ageEnds; 0 is not set
-	ageEnds int64
-	ghost   bool
-	place   *list.Element
+	key         entryKey
+	group       int64
+	count       float64 // requests, decayed over the window
+	counted     int64
+	born        int64
+	purges      float64
+	age         int64 // accepted age, held until ageEnds; 0 is not set
+	ageEnds     int64
+	ghost       bool
+	servedUntil int64 // until when it is taken to be kept
+	place       *list.Element
 }
 
 type entryKey struct {
@@ -199,6 +198,7 @@
 	subscribed, asked bool
 	askAt             int64
 	tenants           map[string]*tenant
+	filling           int     // dispatches in hand that likely need a fill
 	spare             float64 // further dispatches put aside
 }
 
