--- a/control/control.go
+++ b/control/control.go
@@ -39,9 +39,13 @@
 	furtherShare = 0.15 // further dispatches that each first one of best payoff puts aside
 	furtherMost  = 10.
 	keepSpan     = 10 * second // for so long an object served is taken to be kept
-	fillRoom     = 0.6         // fills in hand for the caches' size
-	fillLeast    = 0.7         // part of that for what earns least for its bytes
-	guardMargin  = 0.6         // part of a cold budget that is used: weights are rough, and chance needs room
+	roomFirst    = 1.2         // fills in hand for the caches' size, at start
+	roomLeast    = 0.3
+	roomMost     = 3.
+	roomUp       = 0.006 // by each fill in time
+	roomDown     = 0.05  // part lost by each late one
+	fillLeast    = 0.7   // part of that for what earns least for its bytes
+	guardMargin  = 0.6   // part of a cold budget that is used: weights are rough, and chance needs room
 )
 
 func get[T any](s Settings, name string, fallback T) T {
@@ -70,13 +74,14 @@
 	r := &Router{set: set, log: log, seed: seed, started: now, home: get(set, "location", ""),
 		products: map[string]*product{}, members: map[uint32]*member{}, table: map[entryKey]*entry{},
 		live: list.New(), ghosts: list.New(), totalAt: now, purges: map[string]int64{},
-		tenants: map[string]*tenant{}, spare: furtherMost}
+		tenants: map[string]*tenant{}, spare: furtherMost, fillRoom: roomFirst}
 	for i, name := range get[[]string](set, "product.names", nil) {
 		due, none := at(set, "product.due", i, second), int64(0)
 		r.products[name] = &product{due: due, fresh: at(set, "product.fresh", i, none),
 			staleSpan: at(set, "product.staleSpan", i, none), window: at(set, "product.window", i, none),
-			payoff: at(set, "product.payoff", i, 1.), effect: at(set, "product.effect", i, "one-shot"),
-			scope: at(set, "product.scope", i, "cell"), neverKept: at(set, "product.neverKept", i, false),
+			payoff: at(set, "product.payoff", i, 1.), dueStretch: at(set, "product.dueStretch", i, 0.),
+			effect: at(set, "product.effect", i, "one-shot"),
+			scope:  at(set, "product.scope", i, "cell"), neverKept: at(set, "product.neverKept", i, false),
 			sending: float64(due) / 1e9, answer: float64(due) / 1e9, seen: 10}
 	}
 	for i, name := range get[[]string](set, "tenant.names", nil) {
@@ -190,11 +195,11 @@
 	return r.send(now, t, cache, source)
 }
 
-// room keeps the fills in hand to what the location's link can bring in time: beyond that all fills get late
-// together, the clients come again, and the jam outlives its cause. What was served lately counts as a hit
-// and passes. Of the rest the products that earn least for their sending time are held and dismissed first.
-// It covers crowding by large, hot or once-only objects, empty caches, purges and a slow source; it hurts
-// where the link is wider than guessed.
+// room keeps the fills in hand to what comes in time, learned from how many do: beyond that all fills get late
+// together, the clients come again, and the jam outlives its cause. What was served lately counts as a hit and
+// passes. Of the rest the products that earn least for their sending time are held and dismissed first. It
+// covers crowding by large, hot or once-only objects, empty caches, purges and a slow source; it hurts where
+// fills are late for a moment only.
 func (r *Router) room(now int64, t *Retrieval) bool {
 	if t.entry.servedUntil > now || len(r.caches) == 0 {
 		return true
@@ -203,7 +208,7 @@
 	for _, m := range r.caches {
 		units += m.Units
 	}
-	limit := fillRoom * units / r.sharers(nil)
+	limit := r.fillRoom * units / r.sharers(nil)
 	best := r.most(func(p *product) float64 { return p.payoff / p.sending })
 	if t.payoff/r.sendingTime(t) < best/2 {
 		limit *= fillLeast
@@ -631,6 +636,12 @@
 	case Unreached, Broken:
 		badCache = 1
 	}
+	if aim := p.due + int64(p.dueStretch*1e9*cmp.Or(r.sizedTime(t), p.sending)); !d.filling {
+	} else if o.Result == Good && o.Spent <= aim {
+		r.fillRoom = min(r.fillRoom+roomUp, roomMost)
+	} else if o.Result == Good || o.Result == Late {
+		r.fillRoom = max(r.fillRoom*(1-roomDown), roomLeast)
+	}
 	if o.Result == Good {
 		p.seen = min(p.seen+1, 200)
 		p.answer += (float64(o.Spent)/1e9 - p.answer) / p.seen
--- a/control/types.go
+++ b/control/types.go
@@ -105,7 +105,7 @@
 
 type product struct {
 	due, fresh, staleSpan, window int64
-	payoff                        float64
+	payoff, dueStretch            float64
 	effect, scope                 string
 	neverKept                     bool
 	sending, answer               float64 // mean sending and answer time, seconds
@@ -199,6 +199,7 @@
 	askAt             int64
 	tenants           map[string]*tenant
 	filling           int     // dispatches in hand that likely need a fill
+	fillRoom          float64 // fills in hand that come in time, for the caches' size
 	spare             float64 // further dispatches put aside
 }
 
