--- a/control/control.go
+++ b/control/control.go
@@ -29,6 +29,7 @@
 	tableSize  = 10000
 	renewFrom  = 1.  // λ·age from which a copy is renewed behind
 	hotShare   = 0.1 // of this router's requests per cache
+	hotLeast   = 3.  // and so many requests in the window: a router that just started finds all hot
 
 	silentFrom   = 6.  // evidence of silence from which a member is suspect: e^-6 by chance
 	badFrom      = 2.5 // failures, lately, from which a member is suspect
@@ -320,7 +321,7 @@
 // place picks the cache and the fill source by the object's hash.
 func (r *Router) place(now int64, t *Retrieval) (cache, source *member) {
 	ranked, spread := rank(t.entry.key, r.caches), 1
-	if n := float64(len(ranked)); n > 1 && !t.product.neverKept && !t.Write {
+	if n := float64(len(ranked)); n > 1 && t.entry.count >= hotLeast && !t.product.neverKept && !t.Write {
 		// A hot object goes to two or three caches, the least busy of them.
 		hot := r.rate(now, t.entry.count, t.entry.counted) * n / (hotShare * r.rate(now, r.total, r.totalAt))
 		spread = max(1, min(1+int(hot), 3, len(ranked)))
--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,303 @@
+package control
+
+import (
+	"fmt"
+	"math"
+	"testing"
+)
+
+func TestAcceptedAge(t *testing.T) {
+	cases := []struct {
+		name   string
+		count  float64 // own requests in the window
+		purges float64
+		fresh  int64
+		born   int64 // seconds ago
+		want   float64
+	}{
+		{"a rare object keeps the fresh time", 0.01, 0, 8 * second, 0, 8},
+		{"the root binds for a hot one", 100, 0, 8 * second, 0, math.Sqrt(2 * 0.1 / (1. / 8 * 20))},
+		{"told purges raise the rate of updates", 100, 3, 8 * second, 8, math.Sqrt(2 * 0.1 / (4. / 16 * 20))},
+		{"never purged and without a fresh time, any age", 100, 0, 0, 0, 0},
+		{"purged and without a fresh time", 100, 2, 0, 20, math.Sqrt(2 * 0.1 / (2. / 20 * 20))},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRouter(t, nil)
+			now := start + 20*second
+			e := &entry{count: c.count, counted: now, born: now - c.born*second, purges: c.purges}
+			r.setAge(now, &Retrieval{SizeKB: 0.1 / exchange, progress: progress{product: &product{fresh: c.fresh}, entry: e}})
+			got := float64(e.age) / 1e9
+			if e.age == math.MaxInt64 {
+				got = 0
+			}
+			if math.Abs(got-c.want) > 1e-6 {
+				t.Errorf("age %v, want %v", got, c.want)
+			}
+			if held := e.age; e.age < math.MaxInt64 && e.ageEnds != now+held {
+				t.Errorf("held until %v, want %v", e.ageEnds, now+held)
+			}
+		})
+	}
+}
+
+func TestRateIgnoresRepeats(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		repeat bool
+		want   float64
+	}{{"first tries count, scaled to the location", false, 2}, {"marked repeats do not", true, 0.2}} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRouter(t, nil)
+			var e *entry
+			for i := range 10 {
+				ret := ask("harmless", "a")
+				ret.Repeat = c.repeat && i > 0
+				e = r.note(start+10*second, ret)
+			}
+			if got := r.scaled(start+10*second, e); math.Abs(got-c.want) > 1e-9 {
+				t.Errorf("rate %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestGhostsKeepTheirRates(t *testing.T) {
+	r := newRouter(t, nil)
+	r.note(start, ask("harmless", "kept"))
+	for i := range tableSize + 5 {
+		r.note(start, ask("harmless", fmt.Sprint("other", i)))
+	}
+	e := r.table[entryKey{object: "kept"}]
+	if e == nil || !e.ghost {
+		t.Fatal("an object pushed out is not among the ghosts")
+	}
+	if again := r.note(start, ask("harmless", "kept")); again.ghost || again.count != 2 || r.live.Len() > tableSize {
+		t.Errorf("back from the ghosts: ghost %v, count %v, table %v", again.ghost, again.count, r.live.Len())
+	}
+}
+
+func TestPurgeCapsTheAge(t *testing.T) {
+	cases := []struct {
+		name        string
+		product     string
+		object      string // "" purges the group
+		told, asked int64  // nanoseconds since the purge
+		most        int64  // 0: no cap of the purge's
+	}{
+		{"an object, soon after", "harmless", "a", 0, second / 2, second / 2},
+		{"in the same instant: never 0, which means the fresh time", "harmless", "a", 0, 0, 1000},
+		{"its group", "harmless", "", second / 10, 2 * second, 2 * second},
+		{"without a fresh time", "stamped", "a", 0, 3 * second, 3 * second},
+		{"another object", "stamped", "b", 0, second, 0},
+		{"forgotten once all have dropped it", "stamped", "a", 0, 8 * second, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRouter(t, nil)
+			r.Purged(start+c.told, c.object, 1, start)
+			now := start + c.asked
+			r.Tick(now)
+			age := r.Where(now, ask(c.product, "a")).Dispatch.Age
+			if c.most > 0 && (age <= 0 || age > c.most) || c.most == 0 && age != 0 {
+				t.Errorf("age %v, want at most %v", age, c.most)
+			}
+		})
+	}
+}
+
+func TestDrainedAndGoneGetNothing(t *testing.T) {
+	for _, phase := range []string{"draining", "gone", "left out"} {
+		t.Run(phase, func(t *testing.T) {
+			r := newRouter(t, nil)
+			if phase == "left out" {
+				r.Listed(start, []Listing{fleet[1], fleet[3], fleet[4]}, true, false)
+			} else {
+				cache, parent := fleet[0], fleet[2]
+				cache.Phase, parent.Phase = phase, phase
+				r.Listed(start, []Listing{cache, parent}, false, false)
+			}
+			for i := range 50 {
+				d := r.Where(start+second, ask("harmless", fmt.Sprint(i)))
+				if d.Verdict == Send && (d.Dispatch.Cache == 1 || d.Dispatch.Source == 3) {
+					t.Fatalf("sent to %d with source %d", d.Dispatch.Cache, d.Dispatch.Source)
+				}
+			}
+		})
+	}
+}
+
+func TestColdBudgets(t *testing.T) {
+	cases := []struct {
+		name   string
+		cold   int // place in the fleet
+		since  int64
+		budget float64 // seconds of sending time this router may send in the window
+	}{
+		{"a cache just started", 0, 0, guardMargin * 2 * 5 * 0.2 * 2 / 2},
+		{"a cache half warm", 0, 5 * second, guardMargin * 2 * 5 * 0.6 * 2 / 2},
+		{"a parent just started, shared by all routers", 2, 0, guardMargin * 2 * 20 * 0.1 * 2 / 4},
+		{"a warm cache", 0, 11 * second, math.Inf(1)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRouter(t, nil)
+			line := fleet[c.cold]
+			line.Started = start
+			r.Listed(start, []Listing{line}, false, false)
+			now, spent := start+c.since, 0.
+			for i := range 200 {
+				ret := ask("harmless", fmt.Sprint(i))
+				d := r.Where(now, ret)
+				if d.Verdict == Send && (d.Dispatch.Cache == line.ID || d.Dispatch.Source == line.ID) {
+					spent += r.sendingTime(ret)
+				}
+				if d.Verdict == Send { // a hit answered at once, so that only the budget binds
+					r.After(now, ret, Outcome{Result: Good, Closed: true, Spent: second / 2})
+				}
+			}
+			if spent > c.budget || spent == 0 || math.IsInf(c.budget, 1) && spent < 10 {
+				t.Errorf("sent %v s of work, budget %v", spent, c.budget)
+			}
+		})
+	}
+}
+
+func TestFurtherDispatches(t *testing.T) {
+	cases := []struct {
+		name    string
+		product string
+		results []Result
+		want    Verdict // after the last result
+	}{
+		{"harmless goes on after a time-out", "harmless", []Result{Late}, Send},
+		{"harmless ends by its payoff", "harmless", []Result{Full, Full, Full, Full}, Dismiss},
+		{"half the payoff, fewer dispatches", "stamped", []Result{Full, Full, Full}, Dismiss},
+		{"stamped that never ran goes anywhere", "stamped", []Result{Unreached}, Send},
+		{"stamped that may have run finds its group empty", "stamped", []Result{Broken, Broken}, Abort},
+		{"one-shot that never ran is sent again", "once", []Result{Full}, Send},
+		{"one-shot that may have run is neither repeated nor dismissed", "once", []Result{Late}, Abort},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRouter(t, nil)
+			ret, now := ask(c.product, "a"), start
+			d := r.Where(now, ret)
+			for i, result := range c.results {
+				if d.Verdict != Send {
+					t.Fatalf("dispatch %d: verdict %v", i, d.Verdict)
+				}
+				first := d.Dispatch.Cache
+				now += second / 2
+				d = r.After(now, ret, Outcome{Number: i, Result: result})
+				if c.product == "stamped" && result == Broken && d.Verdict == Send && d.Dispatch.Cache != first {
+					t.Fatal("repeated outside its group")
+				}
+			}
+			if d.Verdict != c.want {
+				t.Errorf("verdict %v, want %v", d.Verdict, c.want)
+			}
+			if again := r.Where(now, ret); d.Verdict != Send && again.Verdict != Wait {
+				t.Errorf("after its final answer: %v", again.Verdict)
+			}
+		})
+	}
+}
+
+func TestHeldEndsInTime(t *testing.T) {
+	for _, left := range []int64{second / 100, 83 * second / 1000, 400 * second / 1000, 5 * second} {
+		t.Run(fmt.Sprint(left), func(t *testing.T) {
+			r := newRouter(t, nil)
+			r.Listed(start, nil, true, false)
+			ret, now := ask("harmless", "a"), start
+			ret.HardStop = now + left
+			d := r.Where(now, ret)
+			for d.Verdict == Wait {
+				now += r.Wait(now, ret)
+				if now > ret.HardStop || now > start+second {
+					t.Fatalf("still held after %v", now-start)
+				}
+				d = r.Where(now, ret)
+			}
+			if d.Verdict != Dismiss || d.Advice <= 0 {
+				t.Errorf("verdict %v with advice %v", d.Verdict, d.Advice)
+			}
+		})
+	}
+}
+
+func TestSuspects(t *testing.T) {
+	cases := []struct {
+		name string
+		bad  map[uint32]Result // what dispatches to a cache end in; others are good
+		want uint32            // the suspect; 0 is none
+	}{
+		{"one that breaks connections", map[uint32]Result{1: Broken}, 1},
+		{"one that cannot be reached", map[uint32]Result{2: Unreached}, 2},
+		{"all alike: nobody stands out", map[uint32]Result{1: Full, 2: Full}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRouter(t, nil)
+			for i := range 40 {
+				ret := ask("harmless", fmt.Sprint(i))
+				if d := r.Where(start, ret); d.Verdict == Send {
+					r.After(start, ret, Outcome{Result: cmpResult(c.bad, d.Dispatch.Cache), Closed: true, Note: 9})
+				}
+			}
+			for id := uint32(1); id <= 2; id++ {
+				if got := r.members[id].suspect; got != (id == c.want) {
+					t.Errorf("cache %d suspect: %v", id, got)
+				}
+			}
+		})
+	}
+	t.Run("one that goes silent", func(t *testing.T) {
+		r := newRouter(t, nil)
+		for i := range 20 {
+			ret := ask("harmless", fmt.Sprint(i))
+			if d := r.Where(start, ret); d.Verdict == Send && d.Dispatch.Cache == 2 {
+				r.After(start, ret, Outcome{Result: Good, Closed: true})
+			}
+		}
+		r.Tick(start + 3*second)
+		if !r.members[1].suspect || r.members[2].suspect {
+			t.Errorf("suspect: %v, %v", r.members[1].suspect, r.members[2].suspect)
+		}
+	})
+}
+
+func cmpResult(bad map[uint32]Result, id uint32) Result {
+	if result, ok := bad[id]; ok {
+		return result
+	}
+	return Good
+}
+
+func TestParentsAndSpread(t *testing.T) {
+	t.Run("an object's fills meet at one parent from all locations", func(t *testing.T) {
+		a, b := newRouter(t, nil), newRouter(t, Settings{"location": "there"})
+		for i := range 20 {
+			name := fmt.Sprint(i)
+			one, other := ask("harmless", name), ask("harmless", name)
+			x, y := a.Where(start, one), b.Where(start, other)
+			a.After(start, one, Outcome{Result: Good, Closed: true})
+			b.After(start, other, Outcome{Result: Good, Closed: true})
+			if x.Dispatch.Source != y.Dispatch.Source {
+				t.Errorf("object %s: %d and %d", name, x.Dispatch.Source, y.Dispatch.Source)
+			}
+			if x.Dispatch.Source != 3 && x.Dispatch.Source != 4 {
+				t.Errorf("object %s filled from %d", name, x.Dispatch.Source)
+			}
+		}
+	})
+	t.Run("a hot object reaches both caches", func(t *testing.T) {
+		r, seen := newRouter(t, nil), map[uint32]int{}
+		for range 40 {
+			seen[r.Where(start, ask("harmless", "hot")).Dispatch.Cache]++
+		}
+		if seen[1] == 0 || seen[2] == 0 {
+			t.Errorf("dispatches by cache: %v", seen)
+		}
+	})
+}
--- /dev/null
+++ b/control/helpers_test.go
@@ -0,0 +1,50 @@
+package control
+
+import "testing"
+
+// site is a small deployment: two caches here, two parents and an origin elsewhere.
+func site(change Settings) Settings {
+	set := Settings{
+		"routers": int64(4), "location": "here", "locations": []string{"hub", "here", "there"},
+		"location.routers": []int64{0, 2, 2}, "kinds": []string{"cache", "parent", "origin"},
+		"kind.parent": int64(1), "kind.origin": int64(2), "clientKBPerS": 1000., "joins": true,
+		"dispatches.most": int64(6), "dispatches.together": true, "cancel": true, "advice": true,
+		"advice.most": second, "drain.grace": second, "purge.grace": second, "purge.takes": 6 * second,
+		"cold.share": 0.2, "cold.span": 10 * second, "cold.factor": 2., "cold.window": 2 * second,
+		"parent.coldShare": 0.1, "parent.coldSpan": 20 * second, "parent.coldFactor": 2.,
+		"product.names": []string{"harmless", "stamped", "once"}, "product.effect": []string{"harmless", "stamped",
+			"one-shot"}, "product.scope": []string{"all", "cell", "all"}, "product.window": []int64{0, second, 0},
+		"product.due": []int64{second / 2, second / 2, second / 2}, "product.payoff": []float64{2, 1, 1},
+		"product.hardStop": []int64{5 * second, 5 * second, 5 * second},
+		"product.fresh":    []int64{8 * second, 0, 0}, "product.staleSpan": []int64{8 * second, 0, 0},
+	}
+	for name, value := range change {
+		set[name] = value
+	}
+	return set
+}
+
+const start = 1000 * second
+
+var fleet = []Listing{
+	{ID: 1, Location: "here", Kind: "cache", Cell: 1, Phase: "ready", Units: 5},
+	{ID: 2, Location: "here", Kind: "cache", Cell: 2, Phase: "ready", Units: 5},
+	{ID: 3, Location: "hub", Kind: "parent", Cell: 3, Phase: "ready", Units: 20},
+	{ID: 4, Location: "hub", Kind: "parent", Cell: 3, Phase: "ready", Units: 20},
+	{ID: 5, Location: "hub", Kind: "origin", Cell: 4, Phase: "ready", Units: 20},
+	{ID: 6, Location: "there", Kind: "cache", Cell: 5, Phase: "ready", Units: 5},
+}
+
+func newRouter(t *testing.T, change Settings) *Router {
+	t.Helper()
+	r, err := New(start, 7, site(change), func(string) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Listed(start, fleet, true, true)
+	return r
+}
+
+func ask(product, object string) *Retrieval {
+	return &Retrieval{Product: product, Object: object, Group: 1, HardStop: start + 500*second}
+}
