--- a/control/control.go
+++ b/control/control.go
@@ -40,12 +40,11 @@
 	furtherShare = 0.15 // further dispatches that each first one of best payoff puts aside
 	furtherMost  = 10.
 	keepSpan     = 10 * second // for so long an object served is taken to be kept
-	roomFirst    = 1.2         // fills in hand for the caches' size, at start
+	roomMost     = 4.          // in hand for the caches' size
 	roomLeast    = 0.3
-	roomMost     = 3.
 	roomUp       = 0.006 // by each fill in time
 	roomDown     = 0.05  // part lost by each late one
-	fillLeast    = 0.7   // part of that for what earns least for its bytes
+	roomCheap    = 0.7   // part of the room for what earns least for its bytes
 	guardMargin  = 0.6   // part of a cold budget that is used: weights are rough, and chance needs room
 )
 
@@ -75,7 +74,7 @@
 	r := &Router{set: set, log: log, seed: seed, started: now, home: get(set, "location", ""),
 		products: map[string]*product{}, members: map[uint32]*member{}, table: map[entryKey]*entry{},
 		live: list.New(), ghosts: list.New(), totalAt: now, purges: map[string]int64{},
-		tenants: map[string]*tenant{}, spare: furtherMost, fillRoom: roomFirst}
+		tenants: map[string]*tenant{}, spare: furtherMost, rooms: [2]float64{2, 1.2}}
 	for i, name := range get[[]string](set, "product.names", nil) {
 		due, none := at(set, "product.due", i, second), int64(0)
 		r.products[name] = &product{due: due, fresh: at(set, "product.fresh", i, none),
@@ -181,7 +180,7 @@
 		return r.giveUp(t)
 	}
 	cache, source := r.place(now, t)
-	if cache == nil || !r.room(now, t) {
+	if cache == nil || !r.room(now, t, cache) {
 		// Nothing usable now (empty list, all cold and at their budget, fills crowded): wait while it can
 		// still be in time, and never past the client's own time, which may be short on a repeat (it was
 		// lost so once).
@@ -196,25 +195,25 @@
 	return r.send(now, t, cache, source)
 }
 
-// room keeps the fills in hand to what comes in time, learned from how many do: beyond that all fills get late
-// together, the clients come again, and the jam outlives its cause. What was served lately counts as a hit and
-// passes. Of the rest the products that earn least for their sending time are held and dismissed first. It
-// covers crowding by large, hot or once-only objects, empty caches, purges and a slow source; it hurts where
-// fills are late for a moment only.
-func (r *Router) room(now int64, t *Retrieval) bool {
-	if t.entry.servedUntil > now || len(r.caches) == 0 {
-		return true
-	}
-	units := 0.
-	for _, m := range r.caches {
-		units += m.Units
+// room keeps what is in hand to what comes in time, learned from how much does: likely hits by the cache's
+// link, likely fills by the location's. Beyond that all get late together, the clients come again, and the
+// jam outlives its cause. What was served lately counts as a hit. The products that earn least for their
+// sending time are held and dismissed first. It covers jumps in traffic, crowding by large, hot or once-only
+// objects, empty caches, purges and a slow source; it hurts where answers are late for a moment only.
+func (r *Router) room(now int64, t *Retrieval, cache *member) bool {
+	load, units, kind := float64(len(cache.out)), cache.Units, 0
+	if t.entry.servedUntil <= now {
+		load, units, kind = float64(r.filling), 0, 1
+		for _, m := range r.caches {
+			units += m.Units
+		}
 	}
-	limit := r.fillRoom * units / r.sharers(nil)
+	limit := r.rooms[kind] * units / r.sharers(nil)
 	best := r.most(func(p *product) float64 { return p.payoff / p.sending })
 	if t.payoff/r.sendingTime(t) < best/2 {
-		limit *= fillLeast
+		limit *= roomCheap
 	}
-	return float64(r.filling) < max(limit, 1)
+	return load < max(limit, 1)
 }
 
 // afford draws a further dispatch from what first ones have put aside, by payoff. Without this bound a jam
@@ -637,11 +636,15 @@
 	case Unreached, Broken:
 		badCache = 1
 	}
-	if aim := p.due + int64(p.dueStretch*1e9*cmp.Or(r.sizedTime(t), p.sending)); !d.filling {
-	} else if o.Result == Good && o.Spent <= aim {
-		r.fillRoom = min(r.fillRoom+roomUp, roomMost)
+	room := &r.rooms[0]
+	if d.filling {
+		room = &r.rooms[1]
+	}
+	due := p.due + int64(p.dueStretch*1e9*cmp.Or(r.sizedTime(t), p.sending))
+	if o.Result == Good && o.Spent <= due {
+		*room = min(*room+roomUp, roomMost)
 	} else if o.Result == Good || o.Result == Late {
-		r.fillRoom = max(r.fillRoom*(1-roomDown), roomLeast)
+		*room = max(*room*(1-roomDown), roomLeast)
 	}
 	if o.Result == Good {
 		p.seen = min(p.seen+1, 200)
--- a/control/types.go
+++ b/control/types.go
@@ -198,9 +198,9 @@
 	subscribed, asked bool
 	askAt             int64
 	tenants           map[string]*tenant
-	filling           int     // dispatches in hand that likely need a fill
-	fillRoom          float64 // fills in hand that come in time, for the caches' size
-	spare             float64 // further dispatches put aside
+	filling           int        // dispatches in hand that likely need a fill
+	rooms             [2]float64 // in hand that comes in time, for the caches size: likely hits, likely fills
+	spare             float64    // further dispatches put aside
 }
 
 type purgeEnd struct {
