--- a/control/control.go
+++ b/control/control.go
@@ -23,7 +23,7 @@
 	period   = second / 10 // of the one periodic timer
 	holdStep = second / 20 // between two looks at a held retrieval
 
-	exchange   = 4e-4 // the design's c: missed updates that one KB of filling is worth
+	exchange   = 2e-2 // the design's c: missed updates that one KB of filling is worth
 	unsizedKB  = 500. // the design's b where sizes are not told
 	rateWindow = 10 * second
 	tableSize  = 10000
