--- a/control/control.go
+++ b/control/control.go
@@ -33,6 +33,7 @@
 
 	silentFrom   = 6.  // evidence of silence from which a member is suspect: e^-6 by chance
 	badFrom      = 2.5 // failures, lately, from which a member is suspect
+	badShare     = 0.3 // part of them that has failed, beyond what its peers show
 	healthSpan   = 4 * second
 	standOut     = 2.     // how far beyond its peers' mean a suspect must stand out
 	trialFirst   = second // until a suspect is tried again; doubles up to trialMost
@@ -48,20 +49,7 @@
 	guardMargin  = 0.6   // part of a cold budget that is used: weights are rough, and chance needs room
 )
 
-func get[T any](s Settings, name string, fallback T) T {
-	if v, ok := s[name].(T); ok {
-		return v
-	}
-	return fallback
-}
-
-// at reads place i of a setting that is a list, and at(..., -1) none.
-func at[T any](s Settings, name string, i int, fallback T) T {
-	if row := get[[]T](s, name, nil); i >= 0 && i < len(row) {
-		return row[i]
-	}
-	return fallback
-}
+var roomFirst = [2]float64{2, 1.2} // in hand for the caches' size, at start: likely hits, likely fills
 
 // New makes a router from its settings; log takes a short line for each change of mode.
 func New(now int64, seed uint64, set Settings, log func(string)) (*Router, error) {
@@ -74,7 +62,7 @@
 	r := &Router{set: set, log: log, seed: seed, started: now, home: get(set, "location", ""),
 		products: map[string]*product{}, members: map[uint32]*member{}, table: map[entryKey]*entry{},
 		live: list.New(), ghosts: list.New(), totalAt: now, purges: map[string]int64{},
-		tenants: map[string]*tenant{}, spare: furtherMost, rooms: [2]float64{2, 1.2}}
+		tenants: map[string]*tenant{}, spare: furtherMost, rooms: roomFirst}
 	for i, name := range get[[]string](set, "product.names", nil) {
 		due, none := at(set, "product.due", i, second), int64(0)
 		r.products[name] = &product{due: due, fresh: at(set, "product.fresh", i, none),
@@ -138,15 +126,14 @@
 }
 
 // Wait says how long to wait before asking Where again; 0 is until an outcome.
-func (r *Router) Wait(now int64, t *Retrieval) int64 {
+func (r *Router) Wait(_ int64, t *Retrieval) int64 {
 	switch {
 	case t.done || t.streaming || t.product == nil:
 		return 0
 	case t.held:
 		return holdStep
 	case t.out > 0:
-		first := int64(2 * t.product.answer * 1e9)
-		return max(first-(now-t.dispatches[len(t.dispatches)-1].sent), period)
+		return period
 	}
 	return 0
 }
@@ -209,8 +196,7 @@
 		}
 	}
 	limit := r.rooms[kind] * units / r.sharers(nil)
-	best := r.most(func(p *product) float64 { return p.payoff / p.sending })
-	if t.payoff/r.sendingTime(t) < best/2 {
+	if t.payoff/r.sendingTime(t) < r.most(func(p *product) float64 { return p.payoff / p.sending })/2 {
 		limit *= roomCheap
 	}
 	return load < max(limit, 1)
@@ -348,7 +334,8 @@
 		}
 		r.check(now, m)
 		tried := slices.ContainsFunc(t.dispatches, func(d *dispatch) bool { return d.cache == m || d.source == m })
-		trial := now >= m.trialAt && !m.trial && len(t.dispatches) == 0 && !get(r.set, "probe", false)
+		trial := now >= m.trialAt && !m.trial && len(t.dispatches) == 0 && (m.Location == r.home &&
+			!get(r.set, "probe", false) || m.Location != r.home && t.entry.servedUntil <= now)
 		if !tried && (!m.suspect || trial) {
 			return m
 		}
@@ -508,7 +495,6 @@
 		name = groupName(group)
 	}
 	r.purges[name] = max(r.purges[name], when)
-	r.purgeEnds = append(r.purgeEnds, purgeEnd{name, when + get(r.set, "purge.takes", 10*second) + second/2})
 	for at := r.live.Front(); at != nil; at = at.Next() {
 		if e := at.Value.(*entry); e.key.object == object || object == "" && e.group == group {
 			e.purges++
@@ -576,14 +562,12 @@
 	if get(r.set, "list.mode", "push") == "ask" && !r.subscribed && !r.asked && now >= r.askAt {
 		r.asked, chores.Subscribe = true, true
 	}
-	for len(r.purgeEnds) > 0 && r.purgeEnds[0].at <= now {
-		end := r.purgeEnds[0]
-		r.purgeEnds = r.purgeEnds[1:]
-		if r.purges[end.name]+get(r.set, "purge.takes", 10*second) <= now {
-			delete(r.purges, end.name)
+	for name, purged := range r.purges {
+		if now > purged+get(r.set, "purge.takes", 10*second)+second/2 {
+			delete(r.purges, name) // all caches and parents have dropped older copies by themselves
 		}
 	}
-	for _, m := range slices.Concat(r.caches, r.parents) {
+	for _, m := range r.caches {
 		r.check(now, m)
 		if m.suspect && !m.trial && now >= m.trialAt && get(r.set, "probe", false) {
 			m.trial = true
@@ -615,36 +599,46 @@
 	r.log(fmt.Sprintf("member %d trusted again", m.ID))
 }
 
-// judge draws from an outcome what it tells of the cache, the source and the product.
+// judge draws from an outcome what it tells of the cache, the source, the room and the product.
 func (r *Router) judge(now int64, t *Retrieval, d *dispatch, o Outcome) {
-	p := t.product
-	good, badCache, badSource := 0., 0., 0.
+	p, kind := t.product, 0 // the room it counted in
+	if d.filling {
+		kind = 1
+	}
+	inTime := o.Spent <= p.due+int64(p.dueStretch*1e9*cmp.Or(r.sizedTime(t), p.sending))
+	var good, bad [2]float64 // of the cache, of the source
 	switch o.Result {
 	case Good, Missing:
-		good = 1
+		if good = [2]float64{1, 1}; !inTime {
+			// Slowness counts like failure: a source that is only slow showed in no other way.
+			good[kind], bad[kind] = 0.5, 0.5
+		}
 	case Full:
-		// Without a note it may have been either; the notes 6 to 8 and 10 name the source, 9 the cache.
-		if badCache, badSource = 0.3, 0.5; o.Note >= 6 {
-			if badCache, badSource = 0, 1; o.Note == 9 {
-				badCache, badSource = 0.3, 0
-			}
+		// Without a note it may have been either; the notes 6 to 8 name the source, 9 the cache.
+		if bad = [2]float64{0.3, 0.5}; o.Note == 9 {
+			bad = [2]float64{0.3, 0}
+		} else if o.Note >= 6 && o.Note <= 8 {
+			bad = [2]float64{0, 1}
 		}
 	case Late:
-		badCache, badSource = 0.5, 0.5
+		bad = [2]float64{0.5, 0.5}
 	case Faulty:
-		badCache = 0.5
+		bad = [2]float64{0.5, 0}
 	case Unreached, Broken:
-		badCache = 1
+		bad = [2]float64{1, 0}
 	}
-	room := &r.rooms[0]
-	if d.filling {
-		room = &r.rooms[1]
+	if !d.filling {
+		good[1], bad[1] = 0, 0 // likely a hit: it tells nothing of the source
 	}
-	due := p.due + int64(p.dueStretch*1e9*cmp.Or(r.sizedTime(t), p.sending))
-	if o.Result == Good && o.Spent <= due {
-		*room = min(*room+roomUp, roomMost)
+	if o.Result == Good && inTime {
+		r.rooms[kind] = min(r.rooms[kind]+roomUp, roomMost)
 	} else if o.Result == Good || o.Result == Late {
-		*room = max(*room*(1-roomDown), roomLeast)
+		r.rooms[kind] = max(r.rooms[kind]*(1-roomDown), roomLeast)
+	}
+	room, first := r.rooms[kind], roomFirst[kind]
+	if r.tight[kind] && room > first || !r.tight[kind] && room < first/2 {
+		r.tight[kind] = !r.tight[kind]
+		r.log(fmt.Sprintf("room for %s tight: %v, at %.2f", []string{"hits", "fills"}[kind], r.tight[kind], room))
 	}
 	if o.Result == Good {
 		p.seen = min(p.seen+1, 200)
@@ -664,18 +658,17 @@
 		if m == nil {
 			continue
 		}
-		bad := []float64{badCache, badSource}[i]
 		m.out = slices.DeleteFunc(m.out, func(x *dispatch) bool { return x == d })
-		m.good = fade(m.good, now-m.scored, healthSpan) + good
-		m.bad = fade(m.bad, now-m.scored, healthSpan) + bad
+		m.good = fade(m.good, now-m.scored, healthSpan) + good[i]
+		m.bad = fade(m.bad, now-m.scored, healthSpan) + bad[i]
 		m.scored = now
 		if m == d.cache && !slices.Contains([]Result{Unreached, Late, Cancelled, Unsent}, o.Result) {
 			m.heard = now
 		}
 		if d.trial == m {
 			m.trial = false
-			if good+bad > 0 {
-				r.tried(now, m, good > 0)
+			if good[i]+bad[i] > 0 {
+				r.tried(now, m, good[i] > bad[i])
 			}
 		}
 		r.check(now, m)
@@ -694,9 +687,9 @@
 	if m.suspect || m == r.origin {
 		return
 	}
-	peers, share := r.caches, 0.4
+	peers := r.caches
 	if m.Location != r.home {
-		peers, share = r.parents, 0.2 // few dispatches that name a source need a fill and tell of it
+		peers = r.parents
 	}
 	silent, good, bad := r.signs(now, m)
 	if silent < silentFrom && bad < badFrom {
@@ -711,7 +704,7 @@
 	}
 	silent -= standOut * allSilent / float64(max(1, len(peers)-1))
 	apart := bad/(good+bad) - standOut*allBad/max(allGood+allBad, 1)
-	if silent < silentFrom && (bad < badFrom || apart < share) {
+	if silent < silentFrom && (bad < badFrom || apart < badShare) {
 		return
 	}
 	m.suspect, m.backoff, m.trial = true, trialFirst, false
--- a/control/types.go
+++ b/control/types.go
@@ -194,20 +194,15 @@
 	total             float64 // all requests, decayed over the window
 	totalAt           int64
 	purges            map[string]int64 // told purges by object, and by group under its number
-	purgeEnds         []purgeEnd
 	subscribed, asked bool
 	askAt             int64
 	tenants           map[string]*tenant
-	filling           int        // dispatches in hand that likely need a fill
+	filling           int // dispatches in hand that likely need a fill
+	tight             [2]bool
 	rooms             [2]float64 // in hand that comes in time, for the caches size: likely hits, likely fills
 	spare             float64    // further dispatches put aside
 }
 
-type purgeEnd struct {
-	name string
-	at   int64
-}
-
 type tenant struct {
 	quota, count float64
 	counted      int64
