--- a/control/control.go
+++ b/control/control.go
@@ -32,6 +32,8 @@
 	hotLeast   = 3.  // and so many requests in the window: a router that just started finds all hot
 
 	silentFrom   = 6.  // evidence of silence from which a member is suspect: e^-6 by chance
+	silentMost   = 2.  // of it by one dispatch
+	silentLeast  = 1.2 // answer times that one must have waited
 	badFrom      = 2.5 // failures, lately, from which a member is suspect
 	badShare     = 0.3 // part of them that has failed, beyond what its peers show
 	healthSpan   = 4 * second
@@ -715,12 +717,16 @@
 // signs is the evidence on a member: the silence of what it has in hand, in answer times, and how it fared
 // lately.
 func (r *Router) signs(now int64, m *member) (silent, good, bad float64) {
-	answer := r.most(func(p *product) float64 { return p.answer })
+	answer, longest := r.most(func(p *product) float64 { return p.answer }), 0.
 	for _, d := range m.out {
 		if d.cache == m {
-			silent += min(2, float64(now-max(d.sent, m.heard))/1e9/answer)
+			waited := float64(now-max(d.sent, m.heard)) / 1e9 / answer
+			silent, longest = silent+min(silentMost, waited), max(longest, waited)
 		}
 	}
+	if longest < silentLeast {
+		silent = 0 // many in hand for a moment are a crowd, not silence: so it went at every start
+	}
 	return silent, fade(m.good, now-m.scored, healthSpan), fade(m.bad, now-m.scored, healthSpan)
 }
 
