--- a/control/control.go
+++ b/control/control.go
@@ -526,7 +526,10 @@
 			m.coldFrom, m.good, m.bad, m.heard = line.Started, 0, 0, now
 			m.suspect, m.trial = false, false
 		}
-		m.Listing, m.listed = line, line.Phase != "gone"
+		m.Listing, m.listed, m.weight = line, line.Phase != "gone", max(line.Units, 0.01)
+		if get(r.set, "units", "off") == "live" {
+			m.weight = 1 // a weight that follows the load would move objects from home to home
+		}
 	}
 	kinds := get[[]string](r.set, "kinds", nil)
 	kind := func(name string) string {
@@ -776,16 +779,16 @@
 // crowd is how busy a member looks from here: own dispatches in hand for its size.
 func (m *member) crowd() float64 { return float64(len(m.out)) / max(m.Units, 0.01) }
 
-// rank orders members for an object by rendezvous hashing: a lost member's objects spread over all
-// others. It is the same at every router.
+// rank orders members for an object by rendezvous hashing weighted by their size: a lost member's objects
+// spread over all others, and a small cache gets no more than it can send. It is the same at every router.
 func rank(key entryKey, members []*member) []*member {
 	h := fnv.New64a()
 	h.Write(binary.LittleEndian.AppendUint64([]byte(key.object), uint64(key.part)))
-	scores := make(map[*member]uint64, len(members))
+	scores := make(map[*member]float64, len(members))
 	for _, m := range members {
 		x := (h.Sum64() ^ uint64(m.ID)) * 0xff51afd7ed558ccd
 		x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
-		scores[m] = x ^ x>>33
+		scores[m] = -math.Log((float64((x^x>>33)>>11)+0.5)/(1<<53)) / m.weight
 	}
 	ranked := slices.Clone(members)
 	slices.SortFunc(ranked, func(a, b *member) int {
--- a/control/types.go
+++ b/control/types.go
@@ -115,7 +115,8 @@
 type member struct {
 	Listing
 	listed    bool
-	coldFrom  int64 // when it started, told or inferred; 0 is long ago
+	weight    float64 // in the hash
+	coldFrom  int64   // when it started, told or inferred; 0 is long ago
 	good, bad float64
 	scored    int64
 	heard     int64 // when it last answered
