--- a/control/control.go
+++ b/control/control.go
@@ -31,6 +31,9 @@
 	hotShare   = 0.1 // of this router's requests per cache
 	hotLeast   = 3.  // and so many requests in the window: a router that just started finds all hot
 
+	rankAgain = 1.2 // requests in the window from which an object is kept at rank 2
+	rankOften = 4.  // and at rank 3
+
 	silentFrom   = 6.  // evidence of silence from which a member is suspect: e^-6 by chance
 	silentMost   = 2.  // of it by one dispatch
 	silentLeast  = 1.2 // answer times that one must have waited
@@ -51,6 +54,10 @@
 	guardMargin  = 0.6   // part of a cold budget that is used: weights are rough, and chance needs room
 )
 
+// blame is what an outcome counts against the cache and against the source.
+var blame = map[Result][2]float64{Full: {0.3, 0.5}, Late: {0.5, 0.5}, Faulty: {0.5, 0}, Unreached: {1, 0},
+	Broken: {1, 0}}
+
 var roomFirst = [2]float64{2, 1.2} // in hand for the caches' size, at start: likely hits, likely fills
 
 // New makes a router from its settings; log takes a short line for each change of mode.
@@ -111,11 +118,8 @@
 		return Decision{}
 	}
 	d := t.dispatches[o.Number]
-	d.ended, d.mayHaveRun = true, o.Result > Unsent
+	d.ended, d.result = true, o.Result
 	t.out--
-	if d.filling {
-		r.filling--
-	}
 	r.judge(now, t, d, o)
 	if o.Closed || t.done {
 		t.done = true
@@ -130,7 +134,7 @@
 // Wait says how long to wait before asking Where again; 0 is until an outcome.
 func (r *Router) Wait(_ int64, t *Retrieval) int64 {
 	switch {
-	case t.done || t.streaming || t.product == nil:
+	case t.done || t.streaming:
 		return 0
 	case t.held:
 		return holdStep
@@ -223,7 +227,7 @@
 // rethink looks after a retrieval whose dispatch is out: if the cache or the source has become suspect
 // since, it goes elsewhere, beside the first where that is allowed, else in its place.
 func (r *Router) rethink(now int64, t *Retrieval) Decision {
-	var stuck []int
+	var stuck Decision
 	for i, d := range t.dispatches {
 		if d.ended {
 			continue
@@ -231,16 +235,16 @@
 		if r.check(now, d.cache); !d.cache.suspect && (d.source == nil || !d.source.suspect) {
 			return Decision{}
 		}
-		stuck = append(stuck, i)
+		stuck.Cancel = append(stuck.Cancel, i)
 	}
 	if !r.repeatable(now, t) {
 		return Decision{}
 	}
 	if !get(r.set, "dispatches.together", false) {
-		if t.product.effect == "harmless" && get(r.set, "cancel", false) {
-			return Decision{Cancel: stuck}
+		if t.product.effect != "harmless" || !get(r.set, "cancel", false) {
+			return Decision{}
 		}
-		return Decision{}
+		return stuck
 	}
 	if cache, source := r.place(now, t); cache != nil && r.afford(t) {
 		return r.send(now, t, cache, source)
@@ -267,7 +271,7 @@
 		return false
 	}
 	for _, d := range t.dispatches {
-		if d.ended && !d.mayHaveRun || t.product.effect == "harmless" {
+		if d.ended && d.result <= Unsent || t.product.effect == "harmless" {
 			continue
 		}
 		if t.product.effect != "stamped" || now >= d.sent+t.product.window {
@@ -280,7 +284,7 @@
 // sameGroup tells whether a stamped retrieval that may have run can be repeated at m.
 func sameGroup(t *Retrieval, m *member) bool {
 	for _, d := range t.dispatches {
-		if t.product.effect == "stamped" && (!d.ended || d.mayHaveRun) && (t.product.scope == "zone" &&
+		if t.product.effect == "stamped" && (!d.ended || d.result > Unsent) && (t.product.scope == "zone" &&
 			d.cache.Location != m.Location || t.product.scope == "cell" && d.cache.Cell != m.Cell) {
 			return false
 		}
@@ -292,8 +296,8 @@
 func (r *Router) giveUp(t *Retrieval) Decision {
 	t.done, t.held = true, false
 	for _, d := range t.dispatches {
-		ran := !d.ended || d.mayHaveRun
-		if ran && t.product.effect != "harmless" && (t.product.effect != "stamped" || t.product.scope != "all") {
+		if p := t.product; (!d.ended || d.result > Unsent) && p.effect != "harmless" &&
+			(p.effect != "stamped" || p.scope != "all") {
 			return Decision{Verdict: Abort}
 		}
 	}
@@ -335,7 +339,12 @@
 			continue
 		}
 		r.check(now, m)
-		tried := slices.ContainsFunc(t.dispatches, func(d *dispatch) bool { return d.cache == m || d.source == m })
+		tried := slices.ContainsFunc(t.dispatches, func(d *dispatch) bool {
+			// A connection that broke by itself is no reason to fill the object elsewhere, on a crowded
+			// link.
+			broke := d.ended && (d.result == Broken || d.result == Faulty)
+			return !broke && (d.cache == m || d.source == m)
+		})
 		trial := now >= m.trialAt && !m.trial && len(t.dispatches) == 0 && (m.Location == r.home &&
 			!get(r.set, "probe", false) || m.Location != r.home && t.entry.servedUntil <= now)
 		if !tried && (!m.suspect || trial) {
@@ -377,13 +386,11 @@
 		out.Join = get(r.set, "joins", false)
 		out.Age, out.Renew = r.age(now, t)
 		// Ranks shield reused objects from those asked for once.
-		switch own := r.rate(now, e.count, e.counted) * float64(rateWindow) / 1e9; {
-		case own < 1.2:
-			out.Rank = 1
-		case own < 4:
-			out.Rank = 2
-		default:
+		own := r.rate(now, e.count, e.counted) * float64(rateWindow) / 1e9
+		if out.Rank = 1; own >= rankOften {
 			out.Rank = 3
+		} else if own >= rankAgain {
+			out.Rank = 2
 		}
 	}
 	return Decision{Verdict: Send, Dispatch: out}
@@ -510,10 +517,8 @@
 	if !last && r.asked {
 		r.subscribed = true
 	}
-	if whole {
-		for _, m := range r.members {
-			m.listed = false
-		}
+	for _, m := range r.members {
+		m.listed = m.listed && !whole
 	}
 	for _, line := range lines {
 		m := r.members[line.ID]
@@ -531,12 +536,8 @@
 			m.weight = 1 // a weight that follows the load would move objects from home to home
 		}
 	}
-	kinds := get[[]string](r.set, "kinds", nil)
 	kind := func(name string) string {
-		if i := get(r.set, name, int64(-1)); i >= 0 && i < int64(len(kinds)) {
-			return kinds[i]
-		}
-		return ""
+		return at(r.set, "kinds", int(get(r.set, name, int64(-1))), "none")
 	}
 	r.caches, r.parents, r.origin = nil, nil, nil
 	for _, m := range r.members {
@@ -608,29 +609,20 @@
 func (r *Router) judge(now int64, t *Retrieval, d *dispatch, o Outcome) {
 	p, kind := t.product, 0 // the room it counted in
 	if d.filling {
+		r.filling--
 		kind = 1
 	}
 	inTime := o.Spent <= p.due+int64(p.dueStretch*1e9*cmp.Or(r.sizedTime(t), p.sending))
-	var good, bad [2]float64 // of the cache, of the source
-	switch o.Result {
-	case Good, Missing:
+	good, bad := [2]float64{}, blame[o.Result] // of the cache, of the source
+	switch {
+	case o.Result == Good || o.Result == Missing:
 		if good = [2]float64{1, 1}; !inTime {
-			// Slowness counts like failure: a source that is only slow showed in no other way.
-			good[kind], bad[kind] = 0.5, 0.5
-		}
-	case Full:
-		// Without a note it may have been either; the notes 6 to 8 name the source, 9 the cache.
-		if bad = [2]float64{0.3, 0.5}; o.Note == 9 {
-			bad = [2]float64{0.3, 0}
-		} else if o.Note >= 6 && o.Note <= 8 {
-			bad = [2]float64{0, 1}
-		}
-	case Late:
-		bad = [2]float64{0.5, 0.5}
-	case Faulty:
-		bad = [2]float64{0.5, 0}
-	case Unreached, Broken:
-		bad = [2]float64{1, 0}
+			good[kind], bad[kind] = 0.5, 0.5 // a source that is only slow showed in no other way
+		}
+	case o.Result == Full && o.Note == 9: // notes: 9 names the cache, 6 to 8 the source
+		bad[1] = 0
+	case o.Result == Full && o.Note >= 6 && o.Note <= 8:
+		bad = [2]float64{0, 1}
 	}
 	if !d.filling {
 		good[1], bad[1] = 0, 0 // likely a hit: it tells nothing of the source
--- a/control/settings.go
+++ b/control/settings.go
@@ -10,7 +10,7 @@
 
 // at reads place i of a setting that is a list, or the fallback where there is none.
 func at[T any](s Settings, name string, i int, fallback T) T {
-	if row := get[[]T](s, name, nil); i < len(row) {
+	if row := get[[]T](s, name, nil); i >= 0 && i < len(row) {
 		return row[i]
 	}
 	return fallback
--- a/control/types.go
+++ b/control/types.go
@@ -139,7 +139,7 @@
 	cache, source *member
 	trial         *member
 	ended         bool
-	mayHaveRun    bool
+	result        Result
 	filling       bool // counted among the fills in hand
 }
 
