--- a/control/control.go
+++ b/control/control.go
@@ -659,7 +659,8 @@
 		m.good = fade(m.good, now-m.scored, healthSpan) + good[i]
 		m.bad = fade(m.bad, now-m.scored, healthSpan) + bad[i]
 		m.scored = now
-		if m == d.cache && !slices.Contains([]Result{Unreached, Late, Cancelled, Unsent}, o.Result) {
+		silent := slices.Contains([]Result{Unreached, Late, Cancelled, Unsent}, o.Result)
+		if m == d.cache && !silent || d.filling && o.Result == Good {
 			m.heard = now
 		}
 		if d.trial == m {
@@ -714,7 +715,7 @@
 func (r *Router) signs(now int64, m *member) (silent, good, bad float64) {
 	answer, longest := r.most(func(p *product) float64 { return p.answer }), 0.
 	for _, d := range m.out {
-		if d.cache == m {
+		if d.cache == m || d.filling {
 			waited := float64(now-max(d.sent, m.heard)) / 1e9 / answer
 			silent, longest = silent+min(silentMost, waited), max(longest, waited)
 		}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -26,7 +26,8 @@
 			r := newRouter(t, nil)
 			now := start + 20*second
 			e := &entry{count: c.count, counted: now, born: now - c.born*second, purges: c.purges}
-			r.setAge(now, &Retrieval{SizeKB: 0.1 / exchange, progress: progress{product: &product{fresh: c.fresh}, entry: e}})
+			state := progress{product: &product{fresh: c.fresh}, entry: e}
+			r.setAge(now, &Retrieval{SizeKB: 0.1 / exchange, progress: state})
 			got := float64(e.age) / 1e9
 			if e.age == math.MaxInt64 {
 				got = 0
@@ -72,7 +73,8 @@
 	if e == nil || !e.ghost {
 		t.Fatal("an object pushed out is not among the ghosts")
 	}
-	if again := r.note(start, ask("harmless", "kept")); again.ghost || again.count != 2 || r.live.Len() > tableSize {
+	again := r.note(start, ask("harmless", "kept"))
+	if again.ghost || again.count != 2 || r.live.Len() > tableSize {
 		t.Errorf("back from the ghosts: ghost %v, count %v, table %v", again.ghost, again.count, r.live.Len())
 	}
 }
@@ -267,6 +269,41 @@
 	})
 }
 
+func TestSilentSource(t *testing.T) {
+	// Likely fills wait for one parent while the other's come: the parent is suspect, the caches are not.
+	r := newRouter(t, nil)
+	for i := range 60 {
+		ret := ask("harmless", fmt.Sprint(i))
+		if d := r.Where(start, ret); d.Verdict == Send && d.Dispatch.Source == 4 {
+			r.After(start, ret, Outcome{Result: Good, Closed: true, Spent: second / 10})
+		}
+	}
+	later := start + second
+	for _, m := range r.caches { // they go on answering what they hold
+		m.heard = later
+	}
+	r.Tick(later)
+	r.check(later, r.members[3])
+	if !r.members[3].suspect || r.members[4].suspect || r.members[1].suspect || r.members[2].suspect {
+		t.Errorf("suspect: parents %v, %v, caches %v, %v", r.members[3].suspect, r.members[4].suspect,
+			r.members[1].suspect, r.members[2].suspect)
+	}
+}
+
+func TestBrokenConnectionKeepsItsCache(t *testing.T) {
+	keeps := map[Result]bool{Broken: true, Faulty: true, Full: false, Unreached: false, Late: false}
+	for result, same := range keeps {
+		t.Run(fmt.Sprint(result), func(t *testing.T) {
+			r, ret := newRouter(t, nil), ask("harmless", "a")
+			first := r.Where(start, ret).Dispatch.Cache
+			d := r.After(start+second, ret, Outcome{Result: result})
+			if d.Verdict != Send || (d.Dispatch.Cache == first) != same {
+				t.Errorf("verdict %v, from cache %d to %d", d.Verdict, first, d.Dispatch.Cache)
+			}
+		})
+	}
+}
+
 func cmpResult(bad map[uint32]Result, id uint32) Result {
 	if result, ok := bad[id]; ok {
 		return result
