--- a/control/control.go
+++ b/control/control.go
@@ -404,7 +404,7 @@
 	}
 	age = e.age
 	renew = r.scaled(now, e)*float64(age)/1e9 >= renewFrom
-	if (t.stale || r.tight[1] && p.staleSpan > 0) && p.fresh > 0 {
+	if t.stale && p.fresh > 0 {
 		age = p.fresh + p.staleSpan
 	}
 	if age == math.MaxInt64 {
