A cache without room for hits passes them on to one with plenty

Covers a cache that is merely slow or smaller than told; may hurt in a jump of all traffic, where each object passed on is filled twice.

--- a/control/control.go
+++ b/control/control.go
@@ -194,18 +194,23 @@
 // sending time are held and dismissed first. It covers jumps in traffic, crowding by large, hot or once-only
 // objects, empty caches, purges and a slow source; it hurts where answers are late for a moment only.
 func (r *Router) room(now int64, t *Retrieval, cache *member) bool {
-	load, units, kind := float64(len(cache.out)), cache.Units, 0
-	if t.entry.servedUntil <= now {
-		load, units, kind = float64(r.filling), 0, 1
+	load, limit, units := r.load(cache), r.rooms[0], cache.Units
+	if t.entry.servedUntil <= now || t.away {
 		for _, m := range r.caches {
 			units += m.Units
 		}
+		units -= cache.Units
+		load, limit = float64(r.filling)*r.sharers(nil)/max(units, 0.01), r.rooms[1]
 	}
-	limit := r.rooms[kind] * units / r.sharers(nil)
 	if t.payoff/r.sendingTime(t) < r.most(func(p *product) float64 { return p.payoff / p.sending })/2 {
 		limit *= roomCheap
 	}
-	return load < max(limit, 1)
+	return load < max(limit, r.sharers(nil)/max(units, 0.01))
+}
+
+// load is what a cache has in hand for its size, as seen from here.
+func (r *Router) load(m *member) float64 {
+	return float64(len(m.out)) * r.sharers(nil) / max(m.Units, 0.01)
 }
 
 // afford draws a further dispatch from what first ones have put aside, by payoff. Without this bound a jam
@@ -318,10 +323,16 @@
 		spread = max(1, min(1+int(hot), 3, len(ranked)))
 	}
 	slices.SortStableFunc(ranked[:min(spread, len(ranked))], func(a, b *member) int {
-		return cmp.Compare(float64(len(a.out))/max(a.Units, 0.01), float64(len(b.out))/max(b.Units, 0.01))
+		return cmp.Compare(r.load(a), r.load(b))
 	})
-	if cache = r.pick(now, t, ranked); cache == nil {
-		return nil, nil
+	// Where the home has no room, another cache with plenty fills the object, if there is room for fills: one
+	// hot or large object crowded its caches while the others had room.
+	t.away = false
+	if cache = r.pick(now, t, ranked); cache != nil && t.entry.servedUntil > now && !r.room(now, t, cache) {
+		roomy := slices.DeleteFunc(ranked, func(m *member) bool { return r.load(m) >= r.rooms[0]/2 })
+		if other := r.pick(now, t, roomy); other != nil {
+			cache, t.away = other, true
+		}
 	}
 	sources := rank(t.entry.key, r.parents)
 	if r.origin != nil {
@@ -359,7 +370,7 @@
 
 func (r *Router) send(now int64, t *Retrieval, cache, source *member) Decision {
 	t.held = false
-	d := &dispatch{sent: now, cache: cache, source: source, filling: t.entry.servedUntil <= now}
+	d := &dispatch{sent: now, cache: cache, source: source, filling: t.entry.servedUntil <= now || t.away}
 	if d.filling {
 		r.filling++
 	}
@@ -769,9 +780,6 @@
 	return amount <= guardMargin*factor*capacity*float64(window)/1e9/r.sharers(m)
 }
 
-// crowd is how busy a member looks from here: own dispatches in hand for its size.
-func (m *member) crowd() float64 { return float64(len(m.out)) / max(m.Units, 0.01) }
-
 // rank orders members for an object by rendezvous hashing weighted by their size: a lost member's objects
 // spread over all others, and a small cache gets no more than it can send. It is the same at every router.
 func rank(key entryKey, members []*member) []*member {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -290,6 +290,52 @@
 	}
 }
 
+func TestRoom(t *testing.T) {
+	hold := func(r *Router, names ...string) (last Decision) {
+		for _, name := range names {
+			last = r.Where(start, ask("harmless", name))
+		}
+		return last
+	}
+	t.Run("fills beyond their room are not sent", func(t *testing.T) {
+		r, sent := newRouter(t, nil), 0
+		for i := range 50 {
+			if hold(r, fmt.Sprint(i)).Verdict == Send {
+				sent++
+			}
+		}
+		if want := int(roomFirst[1] * 10 / 2); sent != want {
+			t.Errorf("%d fills in hand, want %d", sent, want)
+		}
+	})
+	t.Run("late answers shrink the room, those in time widen it", func(t *testing.T) {
+		r := newRouter(t, nil)
+		for _, c := range []struct {
+			spent int64
+			sign  float64
+		}{{5 * second, -1}, {second / 10, 1}} {
+			ret, before := ask("harmless", fmt.Sprint(c.spent)), r.rooms[1]
+			r.Where(start, ret)
+			r.After(start, ret, Outcome{Result: Good, Closed: true, Spent: c.spent})
+			if (r.rooms[1]-before)*c.sign <= 0 {
+				t.Errorf("room from %v to %v after an answer in %v", before, r.rooms[1], c.spent)
+			}
+		}
+	})
+	t.Run("a crowded home passes its hits on", func(t *testing.T) {
+		r := newRouter(t, nil)
+		first := ask("harmless", "a")
+		home := r.Where(start, first).Dispatch.Cache
+		r.After(start, first, Outcome{Result: Good, Closed: true, Spent: second / 10})
+		for range 5 { // the home's room of 2 for its size, shared by two routers
+			r.members[home].out = append(r.members[home].out, &dispatch{sent: start, cache: r.members[home]})
+		}
+		if d := hold(r, "a"); d.Verdict != Send || d.Dispatch.Cache == home {
+			t.Errorf("verdict %v, to %d", d.Verdict, d.Dispatch.Cache)
+		}
+	})
+}
+
 func TestBrokenConnectionKeepsItsCache(t *testing.T) {
 	keeps := map[Result]bool{Broken: true, Faulty: true, Full: false, Unreached: false, Late: false}
 	for result, same := range keeps {
--- a/control/types.go
+++ b/control/types.go
@@ -175,6 +175,7 @@
 	streaming  bool
 	done       bool
 	held       bool
+	away       bool // its home has no room: another cache is to fill it
 	stale      bool // a copy past its fresh time will do
 }
 
