--- a/control/control.go
+++ b/control/control.go
@@ -49,7 +49,7 @@
 	roomMost     = 4.          // in hand for the caches' size
 	roomLeast    = 0.3
 	roomUp       = 0.006 // by each fill in time
-	roomDown     = 0.05  // part lost by each late one
+	roomDown     = 0.08  // part lost by each late one
 	roomCheap    = 0.7   // part of the room for what earns least for its bytes
 	guardMargin  = 0.6   // part of a cold budget that is used: weights are rough, and chance needs room
 )
@@ -325,8 +325,8 @@
 	slices.SortStableFunc(ranked[:min(spread, len(ranked))], func(a, b *member) int {
 		return cmp.Compare(r.load(a), r.load(b))
 	})
-	// Where the home has no room, another cache with plenty fills the object, if there is room for fills: one
-	// hot or large object crowded its caches while the others had room.
+	// Where the home has no room, another cache with plenty fills the object, if there is room for fills:
+	// one hot or large object crowded its caches while the others had room.
 	t.away = false
 	if cache = r.pick(now, t, ranked); cache != nil && t.entry.servedUntil > now && !r.room(now, t, cache) {
 		roomy := slices.DeleteFunc(ranked, func(m *member) bool { return r.load(m) >= r.rooms[0]/2 })
