Two ranks instead of three

Cause: a hit sets the rank anew but nothing lowers it, so what had been hot kept its place for good and new objects found none.

--- a/control/control.go
+++ b/control/control.go
@@ -32,7 +32,6 @@
 	hotLeast   = 3.  // and so many requests in the window: a router that just started finds all hot
 
 	rankAgain = 1.2 // requests in the window from which an object is kept at rank 2
-	rankOften = 4.  // and at rank 3
 
 	silentFrom   = 6.  // evidence of silence from which a member is suspect: e^-6 by chance
 	silentMost   = 2.  // of it by one dispatch
@@ -396,11 +395,9 @@
 		e := t.entry
 		out.Join = get(r.set, "joins", false)
 		out.Age, out.Renew = r.age(now, t)
-		// Ranks shield reused objects from those asked for once.
-		own := r.rate(now, e.count, e.counted) * float64(rateWindow) / 1e9
-		if out.Rank = 1; own >= rankOften {
-			out.Rank = 3
-		} else if own >= rankAgain {
+		// Ranks shield reused objects from those asked for once; a third one kept what had been hot for
+		// good.
+		if out.Rank = 1; r.rate(now, e.count, e.counted)*float64(rateWindow)/1e9 >= rankAgain {
 			out.Rank = 2
 		}
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -357,6 +357,16 @@
 	return Good
 }
 
+func TestRanksShieldReusedObjects(t *testing.T) {
+	r := newRouter(t, nil)
+	for i, want := range []int64{1, 2, 2} {
+		now := start + rateWindow + int64(i)*second
+		if got := r.Where(now, ask("harmless", "a")).Dispatch.Rank; got != want {
+			t.Errorf("request %d kept at rank %d, want %d", i, got, want)
+		}
+	}
+}
+
 func TestParentsAndSpread(t *testing.T) {
 	t.Run("an object's fills meet at one parent from all locations", func(t *testing.T) {
 		a, b := newRouter(t, nil), newRouter(t, Settings{"location": "there"})
