--- a/control/control.go
+++ b/control/control.go
@@ -236,7 +236,7 @@
 		if d.ended {
 			continue
 		}
-		if r.check(now, d.cache); !d.cache.suspect && (d.source == nil || !d.source.suspect) {
+		if r.check(now, d.cache); !d.stuck(now, d.cache) && !d.stuck(now, d.source) {
 			return Decision{}
 		}
 		stuck.Cancel = append(stuck.Cancel, i)
@@ -256,6 +256,12 @@
 	return Decision{}
 }
 
+// stuck tells whether a dispatch waits for a suspect. A trial gets its time: called off at once, as it was,
+// it taught nothing and the suspect stayed one.
+func (d *dispatch) stuck(now int64, m *member) bool {
+	return m != nil && m.suspect && (d.trial != m || now-d.sent > trialFirst)
+}
+
 // most is the largest of a figure over the products.
 func (r *Router) most(figure func(*product) float64) float64 {
 	best := 0.01
