--- a/control/control.go
+++ b/control/control.go
@@ -20,6 +20,7 @@
 
 const (
 	second   = int64(1e9)
+	forever  = int64(math.MaxInt64 / 2)
 	period   = second / 10 // of the one periodic timer
 	holdStep = second / 20 // between two looks at a held retrieval
 
@@ -421,7 +422,7 @@
 	if t.stale && p.fresh > 0 {
 		age = p.fresh + p.staleSpan
 	}
-	if age == math.MaxInt64 {
+	if age == forever {
 		age = 0
 	}
 	// Rule 5: nothing older than the last told purge, by the time of sending. Never 0, which means the fresh
@@ -450,7 +451,7 @@
 	} else {
 		span = max(span, float64(rateWindow)/1e9)
 	}
-	e.age = math.MaxInt64
+	e.age = forever
 	if mu, lambda := purges/span, r.scaled(now, e); mu > 0 && lambda > 0 {
 		if root := math.Sqrt(2 * exchange * kb / (mu * lambda)); root < 1e9 {
 			e.age = max(int64(root*1e9), second/1000)
@@ -459,10 +460,7 @@
 	if p.fresh > 0 {
 		e.age = min(e.age, p.fresh)
 	}
-	e.ageEnds = math.MaxInt64
-	if e.age < math.MaxInt64-now {
-		e.ageEnds = now + e.age
-	}
+	e.ageEnds = now + e.age
 }
 
 // scaled is the design's λ: the own rate times the routers of the location.
@@ -486,15 +484,13 @@
 	switch {
 	case e == nil:
 		e = &entry{key: key, group: t.Group, born: now, counted: now}
-		r.table[key], e.place = e, r.live.PushFront(e)
-		e.place.Value = e
+		r.table[key] = e
 	case e.ghost:
-		e.ghost = false
 		r.ghosts.Remove(e.place)
-		e.place = r.live.PushFront(e)
 	default:
-		r.live.MoveToFront(e.place)
+		r.live.Remove(e.place)
 	}
+	e.ghost, e.place = false, r.live.PushFront(e)
 	if r.live.Len() > tableSize {
 		old := r.live.Remove(r.live.Back()).(*entry)
 		old.ghost, old.age, old.place = true, 0, r.ghosts.PushFront(old)
@@ -744,11 +740,8 @@
 // origin.
 func (r *Router) sharers(m *member) float64 {
 	if m == nil || m.Location == r.home {
-		for i, name := range get[[]string](r.set, "locations", nil) {
-			if name == r.home {
-				return float64(max(1, at(r.set, "location.routers", i, int64(1))))
-			}
-		}
+		here := slices.Index(get[[]string](r.set, "locations", nil), r.home)
+		return float64(max(1, at(r.set, "location.routers", here, int64(1))))
 	}
 	return float64(max(1, get(r.set, "routers", int64(1))))
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -29,13 +29,13 @@
 			state := progress{product: &product{fresh: c.fresh}, entry: e}
 			r.setAge(now, &Retrieval{SizeKB: 0.1 / exchange, progress: state})
 			got := float64(e.age) / 1e9
-			if e.age == math.MaxInt64 {
+			if e.age == forever {
 				got = 0
 			}
 			if math.Abs(got-c.want) > 1e-6 {
 				t.Errorf("age %v, want %v", got, c.want)
 			}
-			if held := e.age; e.age < math.MaxInt64 && e.ageEnds != now+held {
+			if held := e.age; e.age < forever && e.ageEnds != now+held {
 				t.Errorf("held until %v, want %v", e.ageEnds, now+held)
 			}
 		})
