--- a/control/control.go
+++ b/control/control.go
@@ -194,7 +194,7 @@
 // sending time are held and dismissed first. It covers jumps in traffic, crowding by large, hot or once-only
 // objects, empty caches, purges and a slow source; it hurts where answers are late for a moment only.
 func (r *Router) room(now int64, t *Retrieval, cache *member) bool {
-	load, limit, units := r.load(now, cache), r.rooms[0], cache.Units
+	load, limit, units := r.load(cache), r.rooms[0], cache.Units
 	if t.entry.servedUntil <= now || t.away {
 		for _, m := range r.caches {
 			units += m.Units
@@ -208,14 +208,9 @@
 	return load < max(limit, r.sharers(nil)/max(units, 0.01))
 }
 
-// load is what a cache has in hand for its size: what it reports, where that is new, and what is seen from
-// here.
-func (r *Router) load(now int64, m *member) float64 {
-	seen := float64(len(m.out)) * r.sharers(nil)
-	if now < m.reportEnds {
-		seen = (seen + m.reported) / 2
-	}
-	return seen / max(m.Units, 0.01)
+// load is what a cache has in hand for its size, as seen from here.
+func (r *Router) load(m *member) float64 {
+	return float64(len(m.out)) * r.sharers(nil) / max(m.Units, 0.01)
 }
 
 // afford draws a further dispatch from what first ones have put aside, by payoff. Without this bound a jam
@@ -334,13 +329,13 @@
 		spread = max(1, min(1+int(hot), 3, len(ranked)))
 	}
 	slices.SortStableFunc(ranked[:min(spread, len(ranked))], func(a, b *member) int {
-		return cmp.Compare(r.load(now, a), r.load(now, b))
+		return cmp.Compare(r.load(a), r.load(b))
 	})
 	// Where the home has no room, another cache with plenty fills the object, if there is room for fills:
 	// one hot or large object crowded its caches while the others had room.
 	t.away = false
 	if cache = r.pick(now, t, ranked); cache != nil && t.entry.servedUntil > now && !r.room(now, t, cache) {
-		roomy := slices.DeleteFunc(ranked, func(m *member) bool { return r.load(now, m) >= r.rooms[0]/2 })
+		roomy := slices.DeleteFunc(ranked, func(m *member) bool { return r.load(m) >= r.rooms[0]/2 })
 		if other := r.pick(now, t, roomy); other != nil {
 			cache, t.away = other, true
 		}
@@ -666,9 +661,6 @@
 			r.setAge(now, t)
 		}
 	}
-	if at := slices.Index(get[[]string](r.set, "report.fields", nil), "inHand"); at >= 0 && at < len(o.Load) {
-		d.cache.reported, d.cache.reportEnds = o.Load[at], now+second
-	}
 	for i, m := range []*member{d.cache, d.source} {
 		if m == nil {
 			continue
--- a/control/types.go
+++ b/control/types.go
@@ -114,20 +114,18 @@
 
 type member struct {
 	Listing
-	listed     bool
-	weight     float64 // in the hash
-	coldFrom   int64   // when it started, told or inferred; 0 is long ago
-	good, bad  float64
-	scored     int64
-	heard      int64 // when it last answered
-	out        []*dispatch
-	suspect    bool
-	trialAt    int64
-	backoff    int64
-	reported   float64 // what it has in hand by its last report, which counts until reportEnds
-	reportEnds int64
-	trial      bool // a trial is out
-	spent      []charge
+	listed    bool
+	weight    float64 // in the hash
+	coldFrom  int64   // when it started, told or inferred; 0 is long ago
+	good, bad float64
+	scored    int64
+	heard     int64 // when it last answered
+	out       []*dispatch
+	suspect   bool
+	trialAt   int64
+	backoff   int64
+	trial     bool // a trial is out
+	spent     []charge
 }
 
 // charge is work sent to a member, in seconds of sending time.
