--- a/control/control.go
+++ b/control/control.go
@@ -48,10 +48,11 @@
 	keepSpan     = 10 * second // for so long an object served is taken to be kept
 	roomMost     = 4.          // in hand for the caches' size
 	roomLeast    = 0.3
-	roomUp       = 0.006 // by each fill in time
-	roomDown     = 0.08  // part lost by each late one
-	roomCheap    = 0.7   // part of the room for what earns least for its bytes
-	guardMargin  = 0.6   // part of a cold budget that is used: weights are rough, and chance needs room
+	roomUp       = 0.006 // by each answer in time, while tight as much again for each roomStreak in a row
+	roomStreak   = 8.
+	roomDown     = 0.08 // part lost by each late one
+	roomCheap    = 0.7  // part of the room for what earns least for its bytes
+	guardMargin  = 0.6  // part of a cold budget that is used: weights are rough, and chance needs room
 )
 
 // blame is what an outcome counts against the cache and against the source.
@@ -638,8 +639,14 @@
 		good[1], bad[1] = 0, 0 // likely a hit: it tells nothing of the source
 	}
 	if o.Result == Good && inTime {
-		r.rooms[kind] = min(r.rooms[kind]+roomUp, roomMost)
+		// While tight it grows faster the longer none is late: after a stall it took ten seconds to come
+		// back.
+		r.rooms[kind] = min(r.rooms[kind]+roomUp*(1+r.streak[kind]/roomStreak), roomMost)
+		if r.streak[kind]++; !r.tight[kind] {
+			r.streak[kind] = 0
+		}
 	} else if o.Result == Good || o.Result == Late {
+		r.streak[kind] = 0
 		r.rooms[kind] = max(r.rooms[kind]*(1-roomDown), roomLeast)
 	}
 	room, first := r.rooms[kind], roomFirst[kind]
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -322,6 +322,21 @@
 			}
 		}
 	})
+	t.Run("while tight it comes back faster than it grows otherwise", func(t *testing.T) {
+		grown := func(tight bool) float64 {
+			r := newRouter(t, nil)
+			r.rooms[1], r.tight[1] = 0.7, tight
+			for i := range 20 {
+				ret := ask("harmless", fmt.Sprint(i))
+				r.Where(start, ret)
+				r.After(start, ret, Outcome{Result: Good, Closed: true, Spent: second / 10})
+			}
+			return r.rooms[1] - 0.7
+		}
+		if tight, wide := grown(true), grown(false); tight < 1.5*wide || wide <= 0 {
+			t.Errorf("grew by %v while tight, %v otherwise", tight, wide)
+		}
+	})
 	t.Run("a crowded home passes its hits on", func(t *testing.T) {
 		r := newRouter(t, nil)
 		first := ask("harmless", "a")
