--- a/control/control.go
+++ b/control/control.go
@@ -137,12 +137,10 @@
 	switch {
 	case t.done || t.streaming:
 		return 0
-	case t.held:
-		return holdStep
 	case t.out > 0:
 		return period
 	}
-	return 0
+	return holdStep
 }
 
 // Departed tells that a retrieval's client left, or that it ended otherwise; dispatches may still be out.
@@ -178,7 +176,7 @@
 		// Nothing usable now (empty list, all cold and at their budget, fills crowded): wait while it can
 		// still be in time, and never past the client's own time, which may be short on a repeat (it was
 		// lost so once).
-		if t.held = now < t.arrived+t.product.due/2 && now+2*holdStep < t.HardStop; t.held {
+		if now < t.arrived+t.product.due/2 && now+2*holdStep < t.HardStop {
 			return Decision{}
 		}
 		return r.giveUp(t)
@@ -306,7 +304,7 @@
 
 // giveUp ends a retrieval at once: dismissed where the client may safely try again, else aborted.
 func (r *Router) giveUp(t *Retrieval) Decision {
-	t.done, t.held = true, false
+	t.done = true
 	for _, d := range t.dispatches {
 		if p := t.product; (!d.ended || d.result > Unsent) && p.effect != "harmless" &&
 			(p.effect != "stamped" || p.scope != "all") {
@@ -376,7 +374,6 @@
 }
 
 func (r *Router) send(now int64, t *Retrieval, cache, source *member) Decision {
-	t.held = false
 	d := &dispatch{sent: now, cache: cache, source: source, filling: t.entry.servedUntil <= now || t.away}
 	if d.filling {
 		r.filling++
--- a/control/types.go
+++ b/control/types.go
@@ -174,7 +174,6 @@
 	out        int
 	streaming  bool
 	done       bool
-	held       bool
 	away       bool // its home has no room: another cache is to fill it
 	stale      bool // a copy past its fresh time will do
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"math"
@@ -196,26 +197,30 @@
 // Nanos turns seconds into nanoseconds.
 func Nanos(seconds float64) int64 { return int64(math.Round(seconds * 1e9)) }
 
-// Writer writes replies.
-type Writer struct{ out *bufio.Writer }
+// Writer writes replies. A reply is held until it is whole: after a fault there is no half one.
+type Writer struct {
+	out   io.Writer
+	reply bytes.Buffer
+}
 
 // NewWriter writes to out.
-func NewWriter(out io.Writer) *Writer { return &Writer{bufio.NewWriterSize(out, 1<<20)} }
+func NewWriter(out io.Writer) *Writer { return &Writer{out: out} }
 
-// Line writes one action: its name and its values.
+// Line adds one action: its name and its values.
 func (w *Writer) Line(name string, values ...string) {
-	w.out.WriteString(name)
+	w.reply.WriteString(name)
 	for _, value := range values {
-		w.out.WriteByte(' ')
-		w.out.WriteString(value)
+		w.reply.WriteByte(' ')
+		w.reply.WriteString(value)
 	}
-	w.out.WriteByte('\n')
+	w.reply.WriteByte('\n')
 }
 
 // Ready closes a reply and sends it.
 func (w *Writer) Ready(number string) error {
 	w.Line("READY", number)
-	return w.out.Flush()
+	_, err := w.reply.WriteTo(w.out)
+	return err
 }
 
 // Seconds writes nanoseconds as seconds, to the microsecond that the wire counts in, rounded down; absent if
