--- a/control/control.go
+++ b/control/control.go
@@ -76,7 +76,7 @@
 	for i, name := range get[[]string](set, "product.names", nil) {
 		due, none := at(set, "product.due", i, second), int64(0)
 		r.products[name] = &product{due: due, fresh: at(set, "product.fresh", i, none),
-			staleSpan: at(set, "product.staleSpan", i, none), window: at(set, "product.window", i, none),
+			window: at(set, "product.window", i, none),
 			payoff: at(set, "product.payoff", i, 1.), dueStretch: at(set, "product.dueStretch", i, 0.),
 			effect: at(set, "product.effect", i, "one-shot"),
 			scope:  at(set, "product.scope", i, "cell"), neverKept: at(set, "product.neverKept", i, false),
@@ -411,15 +411,12 @@
 
 // age gives the oldest copy that will do, and whether an ageing one is renewed behind.
 func (r *Router) age(now int64, t *Retrieval) (age int64, renew bool) {
-	e, p := t.entry, t.product
+	e := t.entry
 	if e.age == 0 || now >= e.ageEnds {
 		r.setAge(now, t)
 	}
 	age = e.age
 	renew = r.scaled(now, e)*float64(age)/1e9 >= renewFrom
-	if t.stale && p.fresh > 0 {
-		age = p.fresh + p.staleSpan
-	}
 	if age == forever {
 		age = 0
 	}
@@ -685,9 +682,6 @@
 		}
 		r.check(now, m)
 	}
-	if t.product.staleSpan > 0 && o.Result != Good {
-		t.stale = true
-	}
 }
 
 // check makes a member suspect by its failures lately or by its silence: a member that hangs, is cut off,
--- a/control/helpers_test.go
+++ b/control/helpers_test.go
@@ -16,7 +16,7 @@
 			"one-shot"}, "product.scope": []string{"all", "cell", "all"}, "product.window": []int64{0, second, 0},
 		"product.due": []int64{second / 2, second / 2, second / 2}, "product.payoff": []float64{2, 1, 1},
 		"product.hardStop": []int64{5 * second, 5 * second, 5 * second},
-		"product.fresh":    []int64{8 * second, 0, 0}, "product.staleSpan": []int64{8 * second, 0, 0},
+		"product.fresh":    []int64{8 * second, 0, 0},
 	}
 	for name, value := range change {
 		set[name] = value
--- a/control/types.go
+++ b/control/types.go
@@ -104,12 +104,12 @@
 // From here on: what the module keeps.
 
 type product struct {
-	due, fresh, staleSpan, window int64
-	payoff, dueStretch            float64
-	effect, scope                 string
-	neverKept                     bool
-	sending, answer               float64 // mean sending and answer time, seconds
-	seen                          float64
+	due, fresh, window int64
+	payoff, dueStretch float64
+	effect, scope      string
+	neverKept          bool
+	sending, answer    float64 // mean sending and answer time, seconds
+	seen               float64
 }
 
 type member struct {
@@ -175,7 +175,6 @@
 	streaming  bool
 	done       bool
 	away       bool // its home has no room: another cache is to fill it
-	stale      bool // a copy past its fresh time will do
 }
 
 // Router is one router's decisions.
