A cache's load is drawn to the location's mean where slices are thin

Also covers any location with more routers than its caches' size. May hurt where one cache alone is crowded and its routers are many. The floor under the room was never reached and is gone.

--- a/control/control.go
+++ b/control/control.go
@@ -193,23 +193,31 @@
 // sending time are held and dismissed first. It covers jumps in traffic, crowding by large, hot or once-only
 // objects, empty caches, purges and a slow source; it hurts where answers are late for a moment only.
 func (r *Router) room(now int64, t *Retrieval, cache *member) bool {
-	load, limit, units := r.load(cache), r.rooms[0], cache.Units
+	load, limit := r.load(cache), r.rooms[0]
 	if t.entry.servedUntil <= now || t.away {
-		for _, m := range r.caches {
-			units += m.Units
-		}
-		units -= cache.Units
-		load, limit = float64(r.filling)*r.sharers(nil)/max(units, 0.01), r.rooms[1]
+		_, units := r.inHand()
+		load, limit = float64(r.filling)*r.sharers(nil)/units, r.rooms[1]
 	}
 	if t.payoff/r.sendingTime(t) < r.most(func(p *product) float64 { return p.payoff / p.sending })/2 {
 		limit *= roomCheap
 	}
-	return load < max(limit, r.sharers(nil)/max(units, 0.01))
+	return load < limit
 }
 
-// load is what a cache has in hand for its size, as seen from here.
+// load is what a cache has in hand for its size, as seen from here. The thinner this router's slice, the less
+// one dispatch tells: it is drawn towards the location's mean, as if one more had been seen at that. Else, with
+// many routers, each found every cache full that it had one dispatch at, and held or dismissed the next.
 func (r *Router) load(m *member) float64 {
-	return float64(len(m.out)) * r.sharers(nil) / max(m.Units, 0.01)
+	out, units := r.inHand()
+	return (float64(len(m.out)) + out*r.sharers(nil)/units) / (max(m.Units, 0.01)/r.sharers(nil) + 1)
+}
+
+// inHand is what is out at all caches of the location, and their size.
+func (r *Router) inHand() (out, units float64) {
+	for _, m := range r.caches {
+		out, units = out+float64(len(m.out)), units+m.Units
+	}
+	return out, max(units, 0.01)
 }
 
 // afford draws a further dispatch from what first ones have put aside, by payoff. Without this bound a jam
