Ranks go by earlier requests scaled to the location's routers

Also covers large new objects asked for once. May hurt where what was reused a minute ago holds its place against newer objects.

--- a/control/control.go
+++ b/control/control.go
@@ -32,7 +32,7 @@
 	hotShare   = 0.1 // of this router's requests per cache
 	hotLeast   = 3.  // and so many requests in the window: a router that just started finds all hot
 
-	rankAgain = 1.2 // requests in the window from which an object is kept at rank 2
+	rankAgain = 0.2 // earlier requests in the window from which an object is kept at rank 2
 
 	silentFrom   = 6.  // evidence of silence from which a member is suspect: e^-6 by chance
 	silentMost   = 2.  // of it by one dispatch
@@ -409,8 +409,9 @@
 		out.Join = get(r.set, "joins", false)
 		out.Age, out.Renew = r.age(now, t)
 		// Ranks shield reused objects from those asked for once; a third one kept what had been hot for
-		// good.
-		if out.Rank = 1; r.rate(now, e.count, e.counted)*float64(rateWindow)/1e9 >= rankAgain {
+		// good. Requests before this one are scaled to the location: in a thin slice none came twice, and a
+		// scan swept the caches.
+		if out.Rank = 1; (e.count-1)*r.sharers(nil) >= rankAgain {
 			out.Rank = 2
 		}
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -393,12 +393,20 @@
 }
 
 func TestRanksShieldReusedObjects(t *testing.T) {
-	r := newRouter(t, nil)
-	for i, want := range []int64{1, 2, 2} {
-		now := start + rateWindow + int64(i)*second
-		if got := r.Where(now, ask("harmless", "a")).Dispatch.Rank; got != want {
-			t.Errorf("request %d kept at rank %d, want %d", i, got, want)
-		}
+	for _, c := range []struct {
+		routers int64
+		between int64 // seconds
+		second  int64 // rank at the second request
+	}{{1, 1, 2}, {1, 30, 1}, {20, 30, 2}} {
+		t.Run(fmt.Sprintf("again after %d s, one of %d routers", c.between, c.routers), func(t *testing.T) {
+			r := newRouter(t, Settings{"location.routers": []int64{0, c.routers, 2}})
+			for i, want := range []int64{1, c.second} {
+				now := start + rateWindow + int64(i)*c.between*second
+				if got := r.Where(now, ask("harmless", "a")).Dispatch.Rank; got != want {
+					t.Errorf("request %d kept at rank %d, want %d", i, got, want)
+				}
+			}
+		})
 	}
 }
 
