--- a/control/control_test.go
+++ b/control/control_test.go
@@ -402,9 +402,11 @@
 			r := newRouter(t, Settings{"location.routers": []int64{0, c.routers, 2}})
 			for i, want := range []int64{1, c.second} {
 				now := start + rateWindow + int64(i)*c.between*second
-				if got := r.Where(now, ask("harmless", "a")).Dispatch.Rank; got != want {
+				ret := ask("harmless", "a")
+				if got := r.Where(now, ret).Dispatch.Rank; got != want {
 					t.Errorf("request %d kept at rank %d, want %d", i, got, want)
 				}
+				r.After(now, ret, Outcome{Result: Good, Closed: true})
 			}
 		})
 	}
