--- a/control/control.go
+++ b/control/control.go
@@ -46,7 +46,6 @@
 	furtherShare = 0.15 // further dispatches that each first one of best payoff puts aside
 	furtherMost  = 10.
 	keepSpan     = 10 * second // for so long an object served is taken to be kept
-	missingSpan  = 30.         // answers over which the share of likely fills that did fill is taken
 	roomMost     = 4.          // in hand for the caches' size
 	roomLeast    = 0.3
 	roomUp       = 0.006 // by each answer in time, while tight as much again for each roomStreak in a row
@@ -73,8 +72,7 @@
 	r := &Router{set: set, log: log, seed: seed, started: now, home: get(set, "location", ""),
 		products: map[string]*product{}, members: map[uint32]*member{}, table: map[entryKey]*entry{},
 		live: list.New(), ghosts: list.New(), totalAt: now, purges: map[string]int64{},
-		tenants: map[string]*tenant{}, spare: furtherMost, rooms: roomFirst,
-		missing: 1}
+		tenants: map[string]*tenant{}, spare: furtherMost, rooms: roomFirst}
 	for i, name := range get[[]string](set, "product.names", nil) {
 		due, none := at(set, "product.due", i, second), int64(0)
 		r.products[name] = &product{due: due, fresh: at(set, "product.fresh", i, none),
@@ -198,7 +196,7 @@
 	load, limit := r.load(cache), r.rooms[0]
 	if t.entry.servedUntil <= now || t.away {
 		_, units := r.inHand()
-		load, limit = float64(r.filling)*r.missing*r.sharers(nil)/units, r.rooms[1]
+		load, limit = float64(r.filling)*r.sharers(nil)/units, r.rooms[1]
 	}
 	if t.payoff/r.sendingTime(t) < r.most(func(p *product) float64 { return p.payoff / p.sending })/2 {
 		limit *= roomCheap
@@ -627,12 +625,6 @@
 	if d.filling {
 		r.filling--
 		kind = 1
-		if o.Note == 1 || o.Note == 5 {
-			kind = 0 // a hit after all: others share the cache, and most of what it serves is not seen here
-		}
-		if o.Note >= 1 && o.Note <= 5 {
-			r.missing += (float64(kind) - r.missing) / missingSpan
-		}
 	}
 	inTime := o.Spent <= p.due+int64(p.dueStretch*1e9*cmp.Or(r.sizedTime(t), p.sending))
 	good, bad := [2]float64{}, blame[o.Result] // of the cache, of the source
@@ -646,7 +638,7 @@
 	case o.Result == Full && o.Note >= 6 && o.Note <= 8:
 		bad = [2]float64{0, 1}
 	}
-	if kind == 0 {
+	if !d.filling {
 		good[1], bad[1] = 0, 0 // likely a hit: it tells nothing of the source
 	}
 	if o.Result == Good && inTime {
