--- a/control/control.go
+++ b/control/control.go
@@ -722,12 +722,8 @@
 	if silent < silentFrom && (bad < badFrom || apart < badShare) {
 		return
 	}
-	// One that fails soon after it was trusted again waits longer: half broken, it passed each trial and failed
-	// the next many.
-	if m.backoff = min(2*m.backoff, trialMost); now-m.trialAt > 2*trialMost || m.backoff == 0 {
-		m.backoff = trialFirst
-	}
-	m.suspect, m.trial, m.trialAt = true, false, now+m.backoff
+	m.suspect, m.backoff, m.trial = true, trialFirst, false
+	m.trialAt = now + m.backoff
 	r.log(fmt.Sprintf("member %d suspect: silence %.1f, failures %.1f of %.1f", m.ID, silent, bad, good+bad))
 }
 
