--- a/control/control.go
+++ b/control/control.go
@@ -641,19 +641,16 @@
 	if !d.filling {
 		good[1], bad[1] = 0, 0 // likely a hit: it tells nothing of the source
 	}
-	// One answer of a thin slice stands for many, but by chance: with each counted once, a jam of all routers
-	// outlasted the day before their rooms had shrunk.
-	weight := math.Sqrt(r.sharers(nil))
 	if o.Result == Good && inTime {
 		// While tight it grows faster the longer none is late: after a stall it took ten seconds to come
 		// back.
-		r.rooms[kind] = min(r.rooms[kind]+weight*roomUp*(1+r.streak[kind]/roomStreak), roomMost)
+		r.rooms[kind] = min(r.rooms[kind]+roomUp*(1+r.streak[kind]/roomStreak), roomMost)
 		if r.streak[kind]++; !r.tight[kind] {
 			r.streak[kind] = 0
 		}
 	} else if o.Result == Good || o.Result == Late {
 		r.streak[kind] = 0
-		r.rooms[kind] = max(r.rooms[kind]*math.Pow(1-roomDown, weight), roomLeast)
+		r.rooms[kind] = max(r.rooms[kind]*(1-roomDown), roomLeast)
 	}
 	room, first := r.rooms[kind], roomFirst[kind]
 	if r.tight[kind] && room > first || !r.tight[kind] && room < first/2 {
