A late answer counts in full against the cache and the source

Who is at fault is told by who stands out from its peers. Also covers members behind a slow way and those with a crowded link of their own. May hurt where one cache holds most of the large objects.

--- a/control/control.go
+++ b/control/control.go
@@ -631,7 +631,7 @@
 	switch {
 	case o.Result == Good || o.Result == Missing:
 		if good = [2]float64{1, 1}; !inTime {
-			good[kind], bad[kind] = 0.5, 0.5 // a source that is only slow showed in no other way
+			good, bad = bad, good // a cache or source that is only slow showed in no other way
 		}
 	case o.Result == Full && o.Note == 9: // notes: 9 names the cache, 6 to 8 the source
 		bad[1] = 0
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -232,11 +232,14 @@
 	cases := []struct {
 		name string
 		bad  map[uint32]Result // what dispatches to a cache end in; others are good
+		late int64             // what these take
 		want uint32            // the suspect; 0 is none
 	}{
-		{"one that breaks connections", map[uint32]Result{1: Broken}, 1},
-		{"one that cannot be reached", map[uint32]Result{2: Unreached}, 2},
-		{"all alike: nobody stands out", map[uint32]Result{1: Full, 2: Full}, 0},
+		{"one that breaks connections", map[uint32]Result{1: Broken}, 0, 1},
+		{"one that cannot be reached", map[uint32]Result{2: Unreached}, 0, 2},
+		{"one that only slows down", map[uint32]Result{1: Good}, 3 * second, 1},
+		{"all alike: nobody stands out", map[uint32]Result{1: Full, 2: Full}, 0, 0},
+		{"all slow alike: nobody stands out", map[uint32]Result{1: Good, 2: Good}, 3 * second, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -244,7 +247,11 @@
 			for i := range 40 {
 				ret := ask("harmless", fmt.Sprint(i))
 				if d := r.Where(start, ret); d.Verdict == Send {
-					r.After(start, ret, Outcome{Result: cmpResult(c.bad, d.Dispatch.Cache), Closed: true, Note: 9})
+					o := Outcome{Result: Good, Closed: true, Note: 9}
+					if result, struck := c.bad[d.Dispatch.Cache]; struck {
+						o.Result, o.Spent = result, c.late
+					}
+					r.After(start, ret, o)
 				}
 			}
 			for id := uint32(1); id <= 2; id++ {
@@ -385,13 +392,6 @@
 	}
 }
 
-func cmpResult(bad map[uint32]Result, id uint32) Result {
-	if result, ok := bad[id]; ok {
-		return result
-	}
-	return Good
-}
-
 func TestRanksShieldReusedObjects(t *testing.T) {
 	for _, c := range []struct {
 		routers int64
