What a suspect answers late does not shrink the room

Cause: late answers of slowing or hanging members shrank the room of the whole location, which dismissed what others could serve. May hurt where suspicion is wrong: the room then stays too wide.

--- a/control/control.go
+++ b/control/control.go
@@ -648,7 +648,7 @@
 		if r.streak[kind]++; !r.tight[kind] {
 			r.streak[kind] = 0
 		}
-	} else if o.Result == Good || o.Result == Late {
+	} else if (o.Result == Good || o.Result == Late) && !d.cache.suspect && (d.source == nil || !d.source.suspect) {
 		r.streak[kind] = 0
 		r.rooms[kind] = max(r.rooms[kind]*(1-roomDown), roomLeast)
 	}
