--- a/control/control.go
+++ b/control/control.go
@@ -195,8 +195,8 @@
 func (r *Router) room(now int64, t *Retrieval, cache *member) bool {
 	load, limit := r.load(cache), r.rooms[0]
 	if t.entry.servedUntil <= now || t.away {
-		_, fills, units := r.inHand()
-		load, limit = fills*r.sharers(nil)/units, r.rooms[1]
+		_, units := r.inHand()
+		load, limit = float64(r.filling)*r.sharers(nil)/units, r.rooms[1]
 	}
 	if t.payoff/r.sendingTime(t) < r.most(func(p *product) float64 { return p.payoff / p.sending })/2 {
 		limit *= roomCheap
@@ -208,22 +208,16 @@
 // one dispatch tells: it is drawn towards the location's mean, as if one more had been seen at that. Else, with
 // many routers, each found every cache full that it had one dispatch at, and held or dismissed the next.
 func (r *Router) load(m *member) float64 {
-	out, _, units := r.inHand()
+	out, units := r.inHand()
 	return (float64(len(m.out)) + out*r.sharers(nil)/units) / (max(m.Units, 0.01)/r.sharers(nil) + 1)
 }
 
-// inHand is what is out at all caches of the location, the likely fills of it, and their size. A fill that waits
-// on a suspect draws nothing through the link: counted, a few silent members took the room of all.
-func (r *Router) inHand() (out, fills, units float64) {
+// inHand is what is out at all caches of the location, and their size.
+func (r *Router) inHand() (out, units float64) {
 	for _, m := range r.caches {
 		out, units = out+float64(len(m.out)), units+m.Units
-		for _, d := range m.out {
-			if d.filling && !m.suspect && (d.source == nil || !d.source.suspect) {
-				fills++
-			}
-		}
 	}
-	return out, fills, max(units, 0.01)
+	return out, max(units, 0.01)
 }
 
 // afford draws a further dispatch from what first ones have put aside, by payoff. Without this bound a jam
@@ -389,6 +383,9 @@
 
 func (r *Router) send(now int64, t *Retrieval, cache, source *member) Decision {
 	d := &dispatch{sent: now, cache: cache, source: source, filling: t.entry.servedUntil <= now || t.away}
+	if d.filling {
+		r.filling++
+	}
 	t.dispatches = append(t.dispatches, d)
 	t.out++
 	out := Dispatch{Cache: cache.ID, Within: t.HardStop - now}
@@ -626,6 +623,7 @@
 func (r *Router) judge(now int64, t *Retrieval, d *dispatch, o Outcome) {
 	p, kind := t.product, 0 // the room it counted in
 	if d.filling {
+		r.filling--
 		kind = 1
 	}
 	inTime := o.Spent <= p.due+int64(p.dueStretch*1e9*cmp.Or(r.sizedTime(t), p.sending))
--- a/control/types.go
+++ b/control/types.go
@@ -197,6 +197,7 @@
 	subscribed, asked bool
 	askAt             int64
 	tenants           map[string]*tenant
+	filling           int // dispatches in hand that likely need a fill
 	tight             [2]bool
 	streak            [2]float64 // answers in time in a row
 	rooms             [2]float64 // in hand that comes in time, for the caches size: likely hits, likely fills
