--- a/control/control.go
+++ b/control/control.go
@@ -197,6 +197,9 @@
 	if t.entry.servedUntil <= now || t.away {
 		_, units := r.inHand()
 		load, limit = float64(r.filling)*r.sharers(nil)/units, r.rooms[1]
+		if !r.reused(t.entry) {
+			limit *= roomCheap // likely not at a parent either
+		}
 	}
 	if t.payoff/r.sendingTime(t) < r.most(func(p *product) float64 { return p.payoff / p.sending })/2 {
 		limit *= roomCheap
@@ -405,13 +408,11 @@
 	}
 	out.Source = source.ID
 	if !t.product.neverKept && !t.Write {
-		e := t.entry
 		out.Join = get(r.set, "joins", false)
 		out.Age, out.Renew = r.age(now, t)
 		// Ranks shield reused objects from those asked for once; a third one kept what had been hot for
-		// good. Requests before this one are scaled to the location: in a thin slice none came twice, and a
-		// scan swept the caches.
-		if out.Rank = 1; (e.count-1)*r.sharers(nil) >= rankAgain {
+		// good.
+		if out.Rank = 1; r.reused(t.entry) {
 			out.Rank = 2
 		}
 	}
@@ -467,6 +468,10 @@
 	e.ageEnds = now + e.age
 }
 
+// reused tells whether an object was asked for before. Requests before this one are scaled to the location: in a
+// thin slice none came twice, and a scan swept the caches.
+func (r *Router) reused(e *entry) bool { return (e.count-1)*r.sharers(nil) >= rankAgain }
+
 // scaled is the design's λ: the own rate times the routers of the location.
 func (r *Router) scaled(now int64, e *entry) float64 {
 	return r.rate(now, e.count, e.counted) * r.sharers(nil)
