--- a/control/control.go
+++ b/control/control.go
@@ -197,7 +197,7 @@
 	if t.entry.servedUntil <= now || t.away {
 		_, units := r.inHand()
 		load, limit = float64(r.filling)*r.sharers(nil)/units, r.rooms[1]
-		if !r.reused(t.entry) {
+		if r.tight[1] && !r.reused(t.entry) {
 			limit *= roomCheap // likely not at a parent either
 		}
 	}
