--- a/control/control.go
+++ b/control/control.go
@@ -176,7 +176,7 @@
 		// Nothing usable now (empty list, all cold and at their budget, fills crowded): wait while it can
 		// still be in time, and never past the client's own time, which may be short on a repeat (it was
 		// lost so once).
-		if false && now < t.arrived+t.product.due/8 && now+2*holdStep < t.HardStop {
+		if now < t.arrived+t.product.due/8 && now+2*holdStep < t.HardStop {
 			return Decision{}
 		}
 		return r.giveUp(t)
