Marked repeats get the smaller room

Cause: a dismissed client comes back after 50 to 500 ms, mostly too late to be served in time for its first try, and served it takes the place of one that would be. Covers any cause of dismissals. May hurt where a first try was lost to another router's death and its repeat could be in time.

--- a/control/control.go
+++ b/control/control.go
@@ -146,8 +146,7 @@
 // Departed tells that a retrieval's client left, or that it ended otherwise; dispatches may still be out.
 func (r *Router) Departed(_ int64, t *Retrieval) { t.done = true }
 
-// Streaming tells that a dispatch's answer has started: it belongs to the client now, the others are called
-// off.
+// Streaming tells that a dispatch's answer has started: it is the client's now, the others are called off.
 func (r *Router) Streaming(now int64, t *Retrieval, number int) Decision {
 	t.streaming = true
 	if number >= 0 && number < len(t.dispatches) {
@@ -190,8 +189,9 @@
 // room keeps what is in hand to what comes in time, learned from how much does: likely hits by the cache's
 // link, likely fills by the location's. Beyond that all get late together, the clients come again, and the
 // jam outlives its cause. What was served lately counts as a hit. The products that earn least for their
-// sending time are held and dismissed first. It covers jumps in traffic, crowding by large, hot or once-only
-// objects, empty caches, purges and a slow source; it hurts where answers are late for a moment only.
+// sending time go first, and clients' repeats: most are late already for their first try, and served they
+// took the place of what was not. It covers jumps in traffic, crowding by large, hot or once-only objects,
+// empty caches, purges and a slow source; it hurts where answers are late for a moment only.
 func (r *Router) room(now int64, t *Retrieval, cache *member) bool {
 	load, limit := r.load(cache), r.rooms[0]
 	if t.entry.servedUntil <= now || t.away {
@@ -201,15 +201,16 @@
 			limit *= roomCheap // likely not at a parent either
 		}
 	}
-	if t.payoff/r.sendingTime(t) < r.most(func(p *product) float64 { return p.payoff / p.sending })/2 {
+	best := r.most(func(p *product) float64 { return p.payoff / p.sending })
+	if t.Repeat || t.payoff/r.sendingTime(t) < best/2 {
 		limit *= roomCheap
 	}
 	return load < limit
 }
 
-// load is what a cache has in hand for its size, as seen from here. The thinner this router's slice, the less
-// one dispatch tells: it is drawn towards the location's mean, as if one more had been seen at that. Else, with
-// many routers, each found every cache full that it had one dispatch at, and held or dismissed the next.
+// load is what a cache has in hand for its size, as seen from here. The thinner this router's slice, the
+// less one dispatch tells: it is drawn towards the location's mean, as if one more had been seen at that.
+// Else, of many routers, each found every cache full that it had one dispatch at.
 func (r *Router) load(m *member) float64 {
 	out, units := r.inHand()
 	return (float64(len(m.out)) + out*r.sharers(nil)/units) / (max(m.Units, 0.01)/r.sharers(nil) + 1)
@@ -284,8 +285,7 @@
 
 func payoff(p *product) float64 { return p.payoff }
 
-// repeatable tells whether a further dispatch is allowed, by its number and payoff, and can do no harm: rule
-// 2.
+// repeatable tells whether a further dispatch is allowed, by number and payoff, and does no harm: rule 2.
 func (r *Router) repeatable(now int64, t *Retrieval) bool {
 	allowed := min(int(get(r.set, "dispatches.most", int64(3))), 2+int(2*t.payoff/r.most(payoff)))
 	if len(t.dispatches) >= allowed || now >= t.HardStop {
@@ -410,8 +410,7 @@
 	if !t.product.neverKept && !t.Write {
 		out.Join = get(r.set, "joins", false)
 		out.Age, out.Renew = r.age(now, t)
-		// Ranks shield reused objects from those asked for once; a third one kept what had been hot for
-		// good.
+		// Ranks shield reused objects from those asked for once; a third kept what had been hot for good.
 		if out.Rank = 1; r.reused(t.entry) {
 			out.Rank = 2
 		}
@@ -430,8 +429,7 @@
 	if age == forever {
 		age = 0
 	}
-	// Rule 5: nothing older than the last told purge, by the time of sending. Never 0, which means the fresh
-	// time.
+	// Rule 5: nothing older than the last told purge, at the sending. Never 0, which means the fresh time.
 	for _, name := range []string{"o" + t.Object, groupName(t.Group)} {
 		if purged, ok := r.purges[name]; ok {
 			if limit := max(now-purged-second/1000, 1000); age == 0 || limit < age {
@@ -468,8 +466,8 @@
 	e.ageEnds = now + e.age
 }
 
-// reused tells whether an object was asked for before. Requests before this one are scaled to the location: in a
-// thin slice none came twice, and a scan swept the caches.
+// reused tells whether an object was asked for before. Requests before this one are scaled to the location:
+// in a thin slice none came twice, and a scan swept the caches.
 func (r *Router) reused(e *entry) bool { return (e.count-1)*r.sharers(nil) >= rankAgain }
 
 // scaled is the design's λ: the own rate times the routers of the location.
@@ -653,7 +651,8 @@
 		if r.streak[kind]++; !r.tight[kind] {
 			r.streak[kind] = 0
 		}
-	} else if (o.Result == Good || o.Result == Late) && !d.cache.suspect && (d.source == nil || !d.source.suspect) {
+	} else if (o.Result == Good || o.Result == Late) && !d.cache.suspect &&
+		(d.source == nil || !d.source.suspect) {
 		r.streak[kind] = 0
 		r.rooms[kind] = max(r.rooms[kind]*(1-roomDown), roomLeast)
 	}
