What was given up on here a moment ago counts as a repeat where none are marked

Cause: two of the three clients' fronts don't mark repeats, which then took the room of first tries and counted in the rates. May hurt where a rarely asked object is wanted by two clients within a second of a dismissal.

--- a/control/control.go
+++ b/control/control.go
@@ -32,7 +32,8 @@
 	hotShare   = 0.1 // of this router's requests per cache
 	hotLeast   = 3.  // and so many requests in the window: a router that just started finds all hot
 
-	rankAgain = 0.2 // earlier requests in the window from which an object is kept at rank 2
+	repeatMost = 10. // requests in the window up to which one soon after a dismissal is taken for its repeat
+	rankAgain  = 0.2 // earlier requests in the window from which an object is kept at rank 2
 
 	silentFrom   = 6.  // evidence of silence from which a member is suspect: e^-6 by chance
 	silentMost   = 2.  // of it by one dispatch
@@ -168,20 +169,19 @@
 // next picks the next dispatch of a retrieval that has none out, or holds it, or gives it up.
 func (r *Router) next(now int64, t *Retrieval) Decision {
 	if !r.repeatable(now, t) {
-		return r.giveUp(t)
+		return r.giveUp(now, t)
 	}
 	cache, source := r.place(now, t)
 	if cache == nil || !r.room(now, t, cache) {
-		// Nothing usable now (empty list, all cold and at their budget, fills crowded): wait while it can
-		// still be in time, and never past the client's own time, which may be short on a repeat (it was
-		// lost so once).
+		// Nothing usable now (empty list, all cold and at their budget, fills crowded): wait a moment, for
+		// what waited longer was late after all, and never past the client's own time (one was lost so).
 		if now < t.arrived+t.product.due/8 && now+2*holdStep < t.HardStop {
 			return Decision{}
 		}
-		return r.giveUp(t)
+		return r.giveUp(now, t)
 	}
 	if !r.afford(t) {
-		return r.giveUp(t)
+		return r.giveUp(now, t)
 	}
 	return r.send(now, t, cache, source)
 }
@@ -225,9 +225,8 @@
 }
 
 // afford draws a further dispatch from what first ones have put aside, by payoff. Without this bound a jam
-// feeds on itself: what is turned away comes again at once and crowds out what would be in time. It covers
-// any cause of widespread failure; it hurts where one cache of few fails and more could have been saved
-// elsewhere.
+// feeds on itself: what is turned away comes again and crowds out what would be in time. It covers any cause
+// of widespread failure; it hurts where one cache of few fails and more could be saved elsewhere.
 func (r *Router) afford(t *Retrieval) bool {
 	if len(t.dispatches) == 0 {
 		r.spare = min(r.spare+furtherShare*t.payoff/r.most(payoff), furtherMost)
@@ -240,8 +239,8 @@
 	return true
 }
 
-// rethink looks after a retrieval whose dispatch is out: if the cache or the source has become suspect
-// since, it goes elsewhere, beside the first where that is allowed, else in its place.
+// rethink looks after a retrieval whose dispatch is out: if the cache or the source has become suspect since,
+// it goes elsewhere, beside the first where that is allowed, else in its place.
 func (r *Router) rethink(now int64, t *Retrieval) Decision {
 	var stuck Decision
 	for i, d := range t.dispatches {
@@ -314,8 +313,8 @@
 }
 
 // giveUp ends a retrieval at once: dismissed where the client may safely try again, else aborted.
-func (r *Router) giveUp(t *Retrieval) Decision {
-	t.done = true
+func (r *Router) giveUp(now int64, t *Retrieval) Decision {
+	t.done, t.entry.gaveUp = true, now
 	for _, d := range t.dispatches {
 		if p := t.product; (!d.ended || d.result > Unsent) && p.effect != "harmless" &&
 			(p.effect != "stamped" || p.scope != "all") {
@@ -367,8 +366,7 @@
 		}
 		r.check(now, m)
 		tried := slices.ContainsFunc(t.dispatches, func(d *dispatch) bool {
-			// A connection that broke by itself is no reason to fill the object elsewhere, on a crowded
-			// link.
+			// A connection that broke by itself is no reason to fill the object elsewhere.
 			broke := d.ended && (d.result == Broken || d.result == Faulty)
 			return !broke && (d.cache == m || d.source == m)
 		})
@@ -483,8 +481,8 @@
 
 func fade(x float64, since, over int64) float64 { return x * math.Exp(-float64(since)/float64(over)) }
 
-// note counts a retrieval in the rate table. Repeats that clients mark don't count: they would shrink ages
-// while parents strain.
+// note counts a retrieval in the rate table. Repeats don't count, marked or guessed by what was given up on
+// here a moment ago: they would shrink ages while parents strain.
 func (r *Router) note(now int64, t *Retrieval) *entry {
 	key := entryKey{t.Object, t.Part}
 	e := r.table[key]
@@ -505,7 +503,7 @@
 	if r.ghosts.Len() > tableSize {
 		delete(r.table, r.ghosts.Remove(r.ghosts.Back()).(*entry).key)
 	}
-	if !t.Repeat {
+	if t.Repeat = t.Repeat || now < e.gaveUp+second && e.count < repeatMost; !t.Repeat {
 		e.count, e.counted = fade(e.count, now-e.counted, rateWindow)+1, now
 		r.total, r.totalAt = fade(r.total, now-r.totalAt, rateWindow)+1, now
 	}
@@ -659,7 +657,8 @@
 	room, first := r.rooms[kind], roomFirst[kind]
 	if r.tight[kind] && room > first || !r.tight[kind] && room < first/2 {
 		r.tight[kind] = !r.tight[kind]
-		r.log(fmt.Sprintf("room for %s tight: %v, at %.2f", []string{"hits", "fills"}[kind], r.tight[kind], room))
+		name := []string{"hits", "fills"}[kind]
+		r.log(fmt.Sprintf("room for %s tight: %v, at %.2f", name, r.tight[kind], room))
 	}
 	if o.Result == Good {
 		p.seen = min(p.seen+1, 200)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -315,19 +315,24 @@
 			t.Errorf("%d fills in hand, want %d", sent, want)
 		}
 	})
-	t.Run("marked repeats get the smaller room", func(t *testing.T) {
-		r, sent := newRouter(t, nil), 0
-		for i := range 50 {
-			ret := ask("harmless", fmt.Sprint(i))
-			ret.Repeat = true
-			if r.Where(start, ret).Verdict == Send {
-				sent++
+	for _, marked := range []bool{true, false} {
+		t.Run(fmt.Sprint("repeats get the smaller room, marked: ", marked), func(t *testing.T) {
+			r, sent := newRouter(t, nil), 0
+			for i := range 50 {
+				ret := ask("harmless", fmt.Sprint(i))
+				if ret.Repeat = marked; !marked {
+					r.giveUp(start-second/2, &Retrieval{progress: progress{product: r.products["harmless"],
+						entry: r.note(start-second/2, ask("harmless", fmt.Sprint(i)))}})
+				}
+				if r.Where(start, ret).Verdict == Send {
+					sent++
+				}
 			}
-		}
-		if full := int(roomFirst[1] * 10 / 2); sent == 0 || sent >= full {
-			t.Errorf("%d repeats in hand, %d first tries", sent, full)
-		}
-	})
+			if full := int(roomFirst[1] * 10 / 2); sent == 0 || sent >= full {
+				t.Errorf("%d repeats in hand, %d first tries", sent, full)
+			}
+		})
+	}
 	t.Run("late answers shrink the room, those in time widen it", func(t *testing.T) {
 		r := newRouter(t, nil)
 		for _, c := range []struct {
--- a/control/types.go
+++ b/control/types.go
@@ -155,6 +155,7 @@
 	age         int64 // accepted age, held until ageEnds; 0 is not set
 	ageEnds     int64
 	ghost       bool
+	gaveUp      int64 // when a retrieval of it was last given up
 	servedUntil int64 // until when it is taken to be kept
 	place       *list.Element
 }
