--- a/control/control.go
+++ b/control/control.go
@@ -52,7 +52,7 @@
 	roomUp       = 0.006 // by each answer in time, while tight as much again for each roomStreak in a row
 	roomStreak   = 8.
 	roomDown     = 0.08 // part lost by each late one
-	roomCheap    = 0.5  // part of the room for what earns least for its bytes
+	roomCheap    = 0.7  // part of the room for what earns least for its bytes
 	guardMargin  = 0.6  // part of a cold budget that is used: weights are rough, and chance needs room
 )
 
