--- a/control/control.go
+++ b/control/control.go
@@ -201,8 +201,10 @@
 			limit *= roomCheap // likely not at a parent either
 		}
 	}
-	best := r.most(func(p *product) float64 { return p.payoff / p.sending })
-	if t.Repeat || t.payoff/r.sendingTime(t) < best/2 {
+	if t.payoff/r.sendingTime(t) < r.most(func(p *product) float64 { return p.payoff / p.sending })/2 {
+		limit *= roomCheap
+	}
+	if t.Repeat {
 		limit *= roomCheap
 	}
 	return load < limit
