--- a/control/control.go
+++ b/control/control.go
@@ -41,7 +41,6 @@
 	badFrom      = 2.5 // failures, lately, from which a member is suspect
 	badShare     = 0.3 // part of them that has failed, beyond what its peers show
 	healthSpan   = 4 * second
-	standOut     = 2.     // how far beyond its peers' mean a suspect must stand out
 	trialFirst   = second // until a suspect is tried again; doubles up to trialMost
 	trialMost    = 8 * second
 	furtherShare = 0.15 // further dispatches that each first one of best payoff puts aside
@@ -701,8 +700,8 @@
 // check makes a member suspect by its failures lately or by its silence: a member that hangs, is cut off,
 // gone without word or stands still shows in the same way, whatever lies behind it. What its peers show at
 // the same time is no evidence against it: in a jam all looked suspect in turn and objects lost their homes.
-// It hurts where most members of a tier fail at once; then nobody is suspect and further dispatches must
-// find the rest.
+// Half a tier may fail at once and still stand out from the rest; twice the peers' mean hid that. It hurts
+// where most fail; then nobody is suspect and further dispatches must find the rest.
 func (r *Router) check(now int64, m *member) {
 	if m.suspect || m == r.origin {
 		return
@@ -722,8 +721,8 @@
 			allSilent, allGood, allBad = allSilent+s, allGood+g, allBad+b
 		}
 	}
-	silent -= standOut * allSilent / float64(max(1, len(peers)-1))
-	apart := bad/(good+bad) - standOut*allBad/max(allGood+allBad, 1)
+	silent -= allSilent / float64(max(1, len(peers)-1))
+	apart := bad/(good+bad) - allBad/max(allGood+allBad, 1)
 	if silent < silentFrom && (bad < badFrom || apart < badShare) {
 		return
 	}
