--- a/control/control.go
+++ b/control/control.go
@@ -233,9 +233,6 @@
 		r.spare = min(r.spare+furtherShare*t.payoff/r.most(payoff), furtherMost)
 		return true
 	}
-	if t.dispatches[len(t.dispatches)-1].result == Unreached {
-		return true // it cost nobody anything: with half the caches down the budget was gone in a second
-	}
 	if r.spare < 1 {
 		return false
 	}
