--- a/control/control.go
+++ b/control/control.go
@@ -332,7 +332,7 @@
 
 // place picks the cache and the fill source by the object's hash.
 func (r *Router) place(now int64, t *Retrieval) (cache, source *member) {
-	ranked, spread := r.rank(now, t.entry.key, r.caches), 1
+	ranked, spread := rank(t.entry.key, r.caches), 1
 	if n := float64(len(ranked)); n > 1 && t.entry.count >= hotLeast && !t.product.neverKept && !t.Write {
 		// A hot object goes to two or three caches, the least busy of them.
 		hot := r.rate(now, t.entry.count, t.entry.counted) * n / (hotShare * r.rate(now, r.total, r.totalAt))
@@ -350,7 +350,7 @@
 			cache, t.away = other, true
 		}
 	}
-	sources := r.rank(now, t.entry.key, r.parents)
+	sources := rank(t.entry.key, r.parents)
 	if r.origin != nil {
 		sources = append(sources, r.origin)
 	}
@@ -768,47 +768,35 @@
 // fits is rule 4: a member that started lately bears a multiple of what it can do now over the rule's
 // window; each router keeps to its share of that.
 func (r *Router) fits(now int64, m *member, amount float64) bool {
+	share, span := get(r.set, "cold.share", 1.), get(r.set, "cold.span", int64(0))
 	factor, window := get(r.set, "cold.factor", 1.), get(r.set, "cold.window", second)
-	if m.Location != r.home {
+	if m != r.origin && m.Location != r.home {
+		share, span = get(r.set, "parent.coldShare", 1.), get(r.set, "parent.coldSpan", int64(0))
 		factor = get(r.set, "parent.coldFactor", factor)
 	}
 	for len(m.spent) > 0 && m.spent[0].at <= now-window {
 		m.spent = m.spent[1:]
 	}
-	warm := r.warm(now, m)
-	if warm == 1 {
+	if m == r.origin || m.coldFrom == 0 || now >= m.coldFrom+span {
 		return true
 	}
+	capacity := m.Units * (share + (1-share)*float64(max(0, now-m.coldFrom))/float64(span))
 	for _, c := range m.spent {
 		amount += c.amount
 	}
-	return amount <= guardMargin*factor*warm*m.Units*float64(window)/1e9/r.sharers(m)
-}
-
-// warm is the part of its capacity that a member has for sure.
-func (r *Router) warm(now int64, m *member) float64 {
-	share, span := get(r.set, "cold.share", 1.), get(r.set, "cold.span", int64(0))
-	if m.Location != r.home {
-		share, span = get(r.set, "parent.coldShare", 1.), get(r.set, "parent.coldSpan", int64(0))
-	}
-	if m == r.origin || m.coldFrom == 0 || now >= m.coldFrom+span {
-		return 1
-	}
-	return share + (1-share)*float64(max(0, now-m.coldFrom))/float64(span)
+	return amount <= guardMargin*factor*capacity*float64(window)/1e9/r.sharers(m)
 }
 
-// rank orders members for an object by rendezvous hashing weighted by what they can do: a lost member's objects
-// spread over all others, a small cache gets no more than it can send, and a cold one takes its objects back bit
-// by bit as it warms: with its full share it held half of them and was late with most. It is the same at every
-// router.
-func (r *Router) rank(now int64, key entryKey, members []*member) []*member {
+// rank orders members for an object by rendezvous hashing weighted by their size: a lost member's objects
+// spread over all others, and a small cache gets no more than it can send. It is the same at every router.
+func rank(key entryKey, members []*member) []*member {
 	h := fnv.New64a()
 	h.Write(binary.LittleEndian.AppendUint64([]byte(key.object), uint64(key.part)))
 	scores := make(map[*member]float64, len(members))
 	for _, m := range members {
 		x := (h.Sum64() ^ uint64(m.ID)) * 0xff51afd7ed558ccd
 		x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
-		scores[m] = -math.Log((float64((x^x>>33)>>11)+0.5)/(1<<53)) / (m.weight * r.warm(now, m))
+		scores[m] = -math.Log((float64((x^x>>33)>>11)+0.5)/(1<<53)) / m.weight
 	}
 	ranked := slices.Clone(members)
 	slices.SortFunc(ranked, func(a, b *member) int {
