While fills are tight a parent is first asked for what it holds

Departure, only while the room for fills or for fetches is tight: a likely fill asks its parent only for what it holds; what the parent lacks is sent on as a fetch with a room of its own. May hurt where parents are empty: one way more for each.

--- a/control/control.go
+++ b/control/control.go
@@ -59,7 +59,14 @@
 var blame = map[Result][2]float64{Full: {0.3, 0.5}, Late: {0.5, 0.5}, Faulty: {0.5, 0}, Unreached: {1, 0},
 	Broken: {1, 0}}
 
-var roomFirst = [2]float64{2, 1.2} // in hand for the caches' size, at start: likely hits, likely fills
+// The kinds of rooms, and what is in hand in them for the caches' size at start.
+const (
+	hits = iota
+	fills
+	fetches
+)
+
+var roomFirst = [3]float64{2, 1.2, 1.2}
 
 // New makes a router from its settings; log takes a short line for each change of mode.
 func New(now int64, seed uint64, set Settings, log func(string)) (*Router, error) {
@@ -192,13 +199,11 @@
 // took the place of what was not. It covers jumps in traffic, crowding by large, hot or once-only objects,
 // empty caches, purges and a slow source; it hurts where answers are late for a moment only.
 func (r *Router) room(now int64, t *Retrieval, cache *member) bool {
-	load, limit := r.load(cache), r.rooms[0]
-	if t.entry.servedUntil <= now || t.away {
+	load, kind := r.load(cache), t.kind(now)
+	limit := r.rooms[kind]
+	if kind > 0 {
 		_, units := r.inHand()
-		load, limit = float64(r.filling)*r.sharers(nil)/units, r.rooms[1]
-		if r.tight[1] && !r.reused(t.entry) {
-			limit *= roomCheap // likely not at a parent either
-		}
+		load = r.filling[kind] * r.sharers(nil) / units
 	}
 	if t.payoff/r.sendingTime(t) < r.most(func(p *product) float64 { return p.payoff / p.sending })/2 {
 		limit *= roomCheap
@@ -209,6 +214,18 @@
 	return load < limit
 }
 
+// kind tells which room a retrieval's next dispatch counts in: a likely hit, a likely fill, or a fetch from the
+// origin, where the source has said that it lacks the object.
+func (t *Retrieval) kind(now int64) int {
+	switch {
+	case t.missed:
+		return fetches
+	case t.entry.servedUntil <= now || t.away:
+		return fills
+	}
+	return hits
+}
+
 // load is what a cache has in hand for its size, as seen from here. The thinner this router's slice, the
 // less one dispatch tells: it is drawn towards the location's mean, as if one more had been seen at that.
 // Else, of many routers, each found every cache full that it had one dispatch at.
@@ -233,6 +250,9 @@
 		r.spare = min(r.spare+furtherShare*t.payoff/r.most(payoff), furtherMost)
 		return true
 	}
+	if t.missed && t.dispatches[len(t.dispatches)-1].result == Missing {
+		return true
+	}
 	if r.spare < 1 {
 		return false
 	}
@@ -368,7 +388,7 @@
 		r.check(now, m)
 		tried := slices.ContainsFunc(t.dispatches, func(d *dispatch) bool {
 			// A connection that broke by itself is no reason to fill the object elsewhere.
-			broke := d.ended && (d.result == Broken || d.result == Faulty)
+			broke := d.ended && (d.result == Broken || d.result == Faulty || d.result == Missing)
 			return !broke && (d.cache == m || d.source == m)
 		})
 		trial := now >= m.trialAt && !m.trial && len(t.dispatches) == 0 && (m.Location == r.home &&
@@ -384,10 +404,8 @@
 }
 
 func (r *Router) send(now int64, t *Retrieval, cache, source *member) Decision {
-	d := &dispatch{sent: now, cache: cache, source: source, filling: t.entry.servedUntil <= now || t.away}
-	if d.filling {
-		r.filling++
-	}
+	d := &dispatch{sent: now, cache: cache, source: source, kind: t.kind(now)}
+	r.filling[d.kind]++
 	t.dispatches = append(t.dispatches, d)
 	t.out++
 	out := Dispatch{Cache: cache.ID, Within: t.HardStop - now}
@@ -407,6 +425,9 @@
 	}
 	out.Source = source.ID
 	if !t.product.neverKept && !t.Write {
+		// While fills or fetches are tight a parent is first asked for what it holds: when the origin was slow,
+		// what waited for it took the room of what the parents had.
+		out.Held = d.kind == fills && (r.tight[fills] || r.tight[fetches]) && source != r.origin
 		out.Join = get(r.set, "joins", false)
 		out.Age, out.Renew = r.age(now, t)
 		// Ranks shield reused objects from those asked for once; a third kept what had been hot for good.
@@ -623,11 +644,9 @@
 
 // judge draws from an outcome what it tells of the cache, the source, the room and the product.
 func (r *Router) judge(now int64, t *Retrieval, d *dispatch, o Outcome) {
-	p, kind := t.product, 0 // the room it counted in
-	if d.filling {
-		r.filling--
-		kind = 1
-	}
+	p, kind := t.product, d.kind
+	r.filling[kind]--
+	t.missed = t.missed || o.Result == Missing && kind == fills
 	inTime := o.Spent <= p.due+int64(p.dueStretch*1e9*cmp.Or(r.sizedTime(t), p.sending))
 	good, bad := [2]float64{}, blame[o.Result] // of the cache, of the source
 	switch {
@@ -640,7 +659,7 @@
 	case o.Result == Full && o.Note >= 6 && o.Note <= 8:
 		bad = [2]float64{0, 1}
 	}
-	if !d.filling {
+	if kind == hits {
 		good[1], bad[1] = 0, 0 // likely a hit: it tells nothing of the source
 	}
 	if o.Result == Good && inTime {
@@ -658,7 +677,7 @@
 	room, first := r.rooms[kind], roomFirst[kind]
 	if r.tight[kind] && room > first || !r.tight[kind] && room < first/2 {
 		r.tight[kind] = !r.tight[kind]
-		name := []string{"hits", "fills"}[kind]
+		name := []string{"hits", "fills", "fetches"}[kind]
 		r.log(fmt.Sprintf("room for %s tight: %v, at %.2f", name, r.tight[kind], room))
 	}
 	if o.Result == Good {
@@ -684,7 +703,7 @@
 		m.bad = fade(m.bad, now-m.scored, healthSpan) + bad[i]
 		m.scored = now
 		silent := slices.Contains([]Result{Unreached, Late, Cancelled, Unsent}, o.Result)
-		if m == d.cache && !silent || d.filling && o.Result == Good {
+		if m == d.cache && !silent || kind > hits && o.Result == Good {
 			m.heard = now
 		}
 		if d.trial == m {
@@ -736,7 +755,7 @@
 func (r *Router) signs(now int64, m *member) (silent, good, bad float64) {
 	answer, longest := r.most(func(p *product) float64 { return p.answer }), 0.
 	for _, d := range m.out {
-		if d.cache == m || d.filling {
+		if d.cache == m || d.kind > hits {
 			waited := float64(now-max(d.sent, m.heard)) / 1e9 / answer
 			silent, longest = silent+min(silentMost, waited), max(longest, waited)
 		}
--- a/control/types.go
+++ b/control/types.go
@@ -140,7 +140,7 @@
 	trial         *member
 	ended         bool
 	result        Result
-	filling       bool // counted among the fills in hand
+	kind          int // the room it counts in
 }
 
 // entry is one object of the rate table: a part is filled and kept on its own, so each is an object to the
@@ -175,6 +175,7 @@
 	out        int
 	streaming  bool
 	done       bool
+	missed     bool // its source lacks the object
 	away       bool // its home has no room: another cache is to fill it
 }
 
@@ -198,10 +199,10 @@
 	subscribed, asked bool
 	askAt             int64
 	tenants           map[string]*tenant
-	filling           int // dispatches in hand that likely need a fill
-	tight             [2]bool
-	streak            [2]float64 // answers in time in a row
-	rooms             [2]float64 // in hand that comes in time, for the caches size: likely hits, likely fills
+	filling           [3]float64 // in hand by kind
+	tight             [3]bool
+	streak            [3]float64 // answers in time in a row
+	rooms             [3]float64 // in hand that comes in time, for the caches size: likely hits, likely fills, fetches
 	spare             float64    // further dispatches put aside
 }
 
