--- a/control/control.go
+++ b/control/control.go
@@ -220,7 +220,7 @@
 	switch {
 	case t.missed:
 		return fetches
-	case t.entry.servedUntil <= now:
+	case t.entry.servedUntil <= now || t.away:
 		return fills
 	}
 	return hits
@@ -361,11 +361,20 @@
 	slices.SortStableFunc(ranked[:min(spread, len(ranked))], func(a, b *member) int {
 		return cmp.Compare(r.load(a), r.load(b))
 	})
+	// Where the home has no room, another cache with plenty fills the object, if there is room for fills:
+	// one hot or large object crowded its caches while the others had room.
+	t.away = false
+	if cache = r.pick(now, t, ranked); cache != nil && t.entry.servedUntil > now && !r.room(now, t, cache) {
+		roomy := slices.DeleteFunc(ranked, func(m *member) bool { return r.load(m) >= r.rooms[0]/2 })
+		if other := r.pick(now, t, roomy); other != nil {
+			cache, t.away = other, true
+		}
+	}
 	sources := rank(t.entry.key, r.parents)
 	if r.origin != nil {
 		sources = append(sources, r.origin)
 	}
-	return r.pick(now, t, ranked), r.pick(now, t, sources)
+	return cache, r.pick(now, t, sources)
 }
 
 // pick takes the first member that is within its cold budget, not suspect and not tried for this retrieval
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -362,6 +362,18 @@
 			t.Errorf("grew by %v while tight, %v otherwise", tight, wide)
 		}
 	})
+	t.Run("a crowded home passes its hits on", func(t *testing.T) {
+		r := newRouter(t, nil)
+		first := ask("harmless", "a")
+		home := r.Where(start, first).Dispatch.Cache
+		r.After(start, first, Outcome{Result: Good, Closed: true, Spent: second / 10})
+		for range 12 { // the home's room of 2 for its size, shared by two routers
+			r.members[home].out = append(r.members[home].out, &dispatch{sent: start, cache: r.members[home]})
+		}
+		if d := hold(r, "a"); d.Verdict != Send || d.Dispatch.Cache == home {
+			t.Errorf("verdict %v, to %d", d.Verdict, d.Dispatch.Cache)
+		}
+	})
 }
 
 func TestThinSlices(t *testing.T) {
--- a/control/types.go
+++ b/control/types.go
@@ -176,6 +176,7 @@
 	streaming  bool
 	done       bool
 	missed     bool // its source lacks the object
+	away       bool // its home has no room: another cache is to fill it
 }
 
 // Router is one router's decisions.
