--- a/control/control.go
+++ b/control/control.go
@@ -48,8 +48,6 @@
 	keepSpan     = 10 * second // for so long an object served is taken to be kept
 	roomMost     = 4.          // in hand for the caches' size
 	roomLeast    = 0.3
-	roomUp       = 0.006 // by each answer in time, while tight as much again for each roomStreak in a row
-	roomStreak   = 8.
 	roomDown     = 0.08 // part lost by each late one
 	roomCheap    = 0.7  // part of the room for what earns least for its bytes
 	guardMargin  = 0.6  // part of a cold budget that is used: weights are rough, and chance needs room
@@ -68,6 +66,9 @@
 
 var roomFirst = [3]float64{2, 1.2, 1.2}
 
+// roomUp is what an answer in time adds to its room, more while tight: stalls outlasted themselves by 10 s.
+var roomUp = map[bool]float64{false: 0.006, true: 0.018}
+
 // New makes a router from its settings; log takes a short line for each change of mode.
 func New(now int64, seed uint64, set Settings, log func(string)) (*Router, error) {
 	for _, name := range []string{"product.names", "product.due", "product.hardStop", "product.payoff",
@@ -178,26 +179,24 @@
 		return r.giveUp(now, t)
 	}
 	cache, source := r.place(now, t)
-	if cache == nil || !r.room(now, t, cache) {
+	switch {
+	case cache != nil && r.room(now, t, cache):
+		if r.afford(t) {
+			return r.send(now, t, cache, source)
+		}
+	case now < t.arrived+t.product.due/8 && now+2*holdStep < t.HardStop:
 		// Nothing usable now (empty list, all cold and at their budget, fills crowded): wait a moment, for
 		// what waited longer was late after all, and never past the client's own time (one was lost so).
-		if now < t.arrived+t.product.due/8 && now+2*holdStep < t.HardStop {
-			return Decision{}
-		}
-		return r.giveUp(now, t)
-	}
-	if !r.afford(t) {
-		return r.giveUp(now, t)
+		return Decision{}
 	}
-	return r.send(now, t, cache, source)
+	return r.giveUp(now, t)
 }
 
 // room keeps what is in hand to what comes in time, learned from how much does: likely hits by the cache's
 // link, likely fills by the location's. Beyond that all get late together, the clients come again, and the
-// jam outlives its cause. What was served lately counts as a hit. The products that earn least for their
-// sending time go first, and clients' repeats: most are late already for their first try, and served they
-// took the place of what was not. It covers jumps in traffic, crowding by large, hot or once-only objects,
-// empty caches, purges and a slow source; it hurts where answers are late for a moment only.
+// jam outlives its cause. What earns least for its sending time goes first, and clients' repeats: most are
+// late already, and took the place of what was not. It covers jumps in traffic, crowding by large, hot or
+// once-only objects, empty caches, purges, a slow source; it hurts where answers are late for a moment only.
 func (r *Router) room(now int64, t *Retrieval, cache *member) bool {
 	load, kind := r.load(cache), t.kind(now)
 	limit := r.rooms[kind]
@@ -214,8 +213,8 @@
 	return load < limit
 }
 
-// kind tells which room a retrieval's next dispatch counts in: a likely hit, a likely fill, or a fetch from the
-// origin, where the source has said that it lacks the object.
+// kind tells which room the next dispatch counts in: that of likely hits, of likely fills, or of fetches from
+// the origin, once the source has said that it lacks the object.
 func (t *Retrieval) kind(now int64) int {
 	switch {
 	case t.missed:
@@ -246,17 +245,15 @@
 // feeds on itself: what is turned away comes again and crowds out what would be in time. It covers any cause
 // of widespread failure; it hurts where one cache of few fails and more could be saved elsewhere.
 func (r *Router) afford(t *Retrieval) bool {
-	if len(t.dispatches) == 0 {
+	switch n := len(t.dispatches); {
+	case n == 0:
 		r.spare = min(r.spare+furtherShare*t.payoff/r.most(payoff), furtherMost)
-		return true
-	}
-	if t.missed && t.dispatches[len(t.dispatches)-1].result == Missing {
-		return true
-	}
-	if r.spare < 1 {
+	case t.dispatches[n-1].result == Missing: // it cost next to nothing
+	case r.spare < 1:
 		return false
+	default:
+		r.spare--
 	}
-	r.spare--
 	return true
 }
 
@@ -273,18 +270,15 @@
 		}
 		stuck.Cancel = append(stuck.Cancel, i)
 	}
-	if !r.repeatable(now, t) {
-		return Decision{}
-	}
-	if !get(r.set, "dispatches.together", false) {
-		if t.product.effect != "harmless" || !get(r.set, "cancel", false) {
-			return Decision{}
+	switch {
+	case !r.repeatable(now, t):
+	case get(r.set, "dispatches.together", false):
+		if cache, source := r.place(now, t); cache != nil && r.afford(t) {
+			return r.send(now, t, cache, source)
 		}
+	case t.product.effect == "harmless" && get(r.set, "cancel", false):
 		return stuck
 	}
-	if cache, source := r.place(now, t); cache != nil && r.afford(t) {
-		return r.send(now, t, cache, source)
-	}
 	return Decision{}
 }
 
@@ -312,10 +306,8 @@
 		return false
 	}
 	for _, d := range t.dispatches {
-		if d.ended && d.result <= Unsent || t.product.effect == "harmless" {
-			continue
-		}
-		if t.product.effect != "stamped" || now >= d.sent+t.product.window {
+		if p := t.product; p.effect != "harmless" && (!d.ended || d.result > Unsent) &&
+			(p.effect != "stamped" || now >= d.sent+p.window) {
 			return false
 		}
 	}
@@ -425,8 +417,8 @@
 	}
 	out.Source = source.ID
 	if !t.product.neverKept && !t.Write {
-		// While fills or fetches are tight a parent is first asked for what it holds: when the origin was slow,
-		// what waited for it took the room of what the parents had.
+		// While tight a parent is first asked for what it holds: what waited for a slow origin took the room
+		// of what the parents had.
 		out.Held = d.kind == fills && (r.tight[fills] || r.tight[fetches]) && source != r.origin
 		out.Join = get(r.set, "joins", false)
 		out.Age, out.Renew = r.age(now, t)
@@ -630,16 +622,14 @@
 
 // tried takes the result of a suspect's trial.
 func (r *Router) tried(now int64, m *member, good bool) {
-	if !m.suspect {
-		return
-	}
-	if !good {
+	switch {
+	case m.suspect && good:
+		m.suspect, m.good, m.bad, m.heard = false, 0, 0, now
+		r.log(fmt.Sprintf("member %d trusted again", m.ID))
+	case m.suspect:
 		m.backoff = min(2*m.backoff, trialMost)
 		m.trialAt = now + m.backoff
-		return
 	}
-	m.suspect, m.good, m.bad, m.heard = false, 0, 0, now
-	r.log(fmt.Sprintf("member %d trusted again", m.ID))
 }
 
 // judge draws from an outcome what it tells of the cache, the source, the room and the product.
@@ -662,16 +652,10 @@
 	if kind == hits {
 		good[1], bad[1] = 0, 0 // likely a hit: it tells nothing of the source
 	}
-	if o.Result == Good && inTime {
-		// While tight it grows faster the longer none is late: after a stall it took ten seconds to come
-		// back.
-		r.rooms[kind] = min(r.rooms[kind]+roomUp*(1+r.streak[kind]/roomStreak), roomMost)
-		if r.streak[kind]++; !r.tight[kind] {
-			r.streak[kind] = 0
-		}
-	} else if (o.Result == Good || o.Result == Late) && !d.cache.suspect &&
-		(d.source == nil || !d.source.suspect) {
-		r.streak[kind] = 0
+	switch {
+	case o.Result == Good && inTime:
+		r.rooms[kind] = min(r.rooms[kind]+roomUp[r.tight[kind]], roomMost)
+	case (o.Result == Good || o.Result == Late) && !d.cache.suspect && (d.source == nil || !d.source.suspect):
 		r.rooms[kind] = max(r.rooms[kind]*(1-roomDown), roomLeast)
 	}
 	room, first := r.rooms[kind], roomFirst[kind]
@@ -750,8 +734,7 @@
 	r.log(fmt.Sprintf("member %d suspect: silence %.1f, failures %.1f of %.1f", m.ID, silent, bad, good+bad))
 }
 
-// signs is the evidence on a member: the silence of what it has in hand, in answer times, and how it fared
-// lately.
+// signs is the evidence on a member: the silence of what it has in hand, in answer times, and how it fared.
 func (r *Router) signs(now int64, m *member) (silent, good, bad float64) {
 	answer, longest := r.most(func(p *product) float64 { return p.answer }), 0.
 	for _, d := range m.out {
@@ -766,8 +749,7 @@
 	return silent, fade(m.good, now-m.scored, healthSpan), fade(m.bad, now-m.scored, healthSpan)
 }
 
-// sharers is how many routers share a member: those of the location for a cache, all for a parent or the
-// origin.
+// sharers is how many routers share a member: those of the location for a cache, all for another.
 func (r *Router) sharers(m *member) float64 {
 	if m == nil || m.Location == r.home {
 		here := slices.Index(get[[]string](r.set, "locations", nil), r.home)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -376,6 +376,30 @@
 	})
 }
 
+func TestTightFillsAskTheParentFirst(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		result Result
+		want   Verdict
+	}{{"what it lacks goes on as a fetch", Missing, Send}, {"what it holds is served", Good, Wait}} {
+		t.Run(c.name, func(t *testing.T) {
+			r, ret := newRouter(t, nil), ask("harmless", "a")
+			r.tight[fills] = true
+			first := r.Where(start, ret).Dispatch
+			if !first.Held {
+				t.Fatal("the parent may fetch")
+			}
+			d := r.After(start, ret, Outcome{Result: c.result, Closed: c.result == Good})
+			if d.Verdict != c.want || d.Verdict == Send && (d.Dispatch.Held || d.Dispatch.Source != first.Source) {
+				t.Errorf("then %+v", d)
+			}
+			if c.want == Send && (r.filling[fetches] != 1 || r.filling[fills] != 0) {
+				t.Errorf("in hand by kind: %v", r.filling)
+			}
+		})
+	}
+}
+
 func TestThinSlices(t *testing.T) {
 	for _, c := range []struct {
 		routers int64
--- a/control/types.go
+++ b/control/types.go
@@ -201,8 +201,7 @@
 	tenants           map[string]*tenant
 	filling           [3]float64 // in hand by kind
 	tight             [3]bool
-	streak            [3]float64 // answers in time in a row
-	rooms             [3]float64 // in hand that comes in time, for the caches size: likely hits, likely fills, fetches
+	rooms             [3]float64 // in hand that comes in time, for the caches' size, by kind
 	spare             float64    // further dispatches put aside
 }
 
