A suspect that could not be reached counts as just started when it answers again

Also covers members back from a mass restart, a vanished one and a replaced one before the list says so. May hurt where only the way to a member was cut: it is spared for a warm-up span.

--- a/control/control.go
+++ b/control/control.go
@@ -558,7 +558,7 @@
 		if line.Started > m.Started {
 			// Back from a restart: cold, empty, and no longer judged by what it was before.
 			m.coldFrom, m.good, m.bad, m.heard = line.Started, 0, 0, now
-			m.suspect, m.trial = false, false
+			m.suspect, m.trial, m.off = false, false, false
 		}
 		m.Listing, m.listed, m.weight = line, line.Phase != "gone", max(line.Units, 0.01)
 		if get(r.set, "units", "off") == "live" {
@@ -624,7 +624,10 @@
 func (r *Router) tried(now int64, m *member, good bool) {
 	switch {
 	case m.suspect && good:
-		m.suspect, m.good, m.bad, m.heard = false, 0, 0, now
+		if m.off {
+			m.coldFrom = now // likely restarted, which the list tells too late: it fell over at full load
+		}
+		m.suspect, m.off, m.good, m.bad, m.heard = false, false, 0, 0, now
 		r.log(fmt.Sprintf("member %d trusted again", m.ID))
 	case m.suspect:
 		m.backoff = min(2*m.backoff, trialMost)
@@ -686,6 +689,7 @@
 		m.good = fade(m.good, now-m.scored, healthSpan) + good[i]
 		m.bad = fade(m.bad, now-m.scored, healthSpan) + bad[i]
 		m.scored = now
+		m.off = m.off || m == d.cache && o.Result == Unreached || m == d.source && o.Result == Full && bad[1] > 0
 		silent := slices.Contains([]Result{Unreached, Late, Cancelled, Unsent}, o.Result)
 		if m == d.cache && !silent || kind > hits && o.Result == Good {
 			m.heard = now
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -276,6 +276,26 @@
 	})
 }
 
+func TestBackAfterOffIsCold(t *testing.T) {
+	// The list tells a restart seconds late: until then what could not be reached counts as just started.
+	for _, c := range []struct {
+		name   string
+		result Result
+		cold   bool
+	}{{"unreached", Unreached, true}, {"only late", Late, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			r, ret := newRouter(t, nil), ask("harmless", "a")
+			m := r.members[r.Where(start, ret).Dispatch.Cache]
+			m.suspect = true
+			r.After(start, ret, Outcome{Result: c.result, Closed: true})
+			r.Probed(start+second, m.ID, true, nil)
+			if m.suspect || (m.coldFrom == start+second) != c.cold {
+				t.Errorf("suspect %v, cold from %v", m.suspect, m.coldFrom)
+			}
+		})
+	}
+}
+
 func TestSilentSource(t *testing.T) {
 	// Likely fills wait for one parent while the other's come: the parent is suspect, the caches are not.
 	r := newRouter(t, nil)
--- a/control/types.go
+++ b/control/types.go
@@ -122,6 +122,7 @@
 	heard     int64 // when it last answered
 	out       []*dispatch
 	suspect   bool
+	off       bool // it could not be reached since it was last trusted
 	trialAt   int64
 	backoff   int64
 	trial     bool // a trial is out
