--- a/control/control.go
+++ b/control/control.go
@@ -362,11 +362,9 @@
 			cache, t.away = other, true
 		}
 	}
-	// Objects whose parent is lost are spread over the origin too: with two of three parents lost the last
-	// had three times its fills.
-	sources := rank(t.entry.key, r.sources)
-	if len(sources) > 1 && sources[0] == r.origin {
-		sources[0], sources[1] = sources[1], sources[0]
+	sources := rank(t.entry.key, r.parents)
+	if r.origin != nil {
+		sources = append(sources, r.origin)
 	}
 	return cache, r.pick(now, t, sources)
 }
@@ -588,9 +586,6 @@
 	byID := func(a, b *member) int { return cmp.Compare(a.ID, b.ID) }
 	slices.SortFunc(r.caches, byID)
 	slices.SortFunc(r.parents, byID)
-	if r.sources = r.parents; r.origin != nil {
-		r.sources = append(slices.Clone(r.parents), r.origin)
-	}
 }
 
 // ListFailed tells that asking for the list failed or the subscription broke; the next tick asks again.
--- a/control/types.go
+++ b/control/types.go
@@ -192,7 +192,6 @@
 	members           map[uint32]*member
 	caches, parents   []*member // ready, of the own location; ready, anywhere
 	origin            *member
-	sources           []*member // the parents and the origin
 	table             map[entryKey]*entry
 	live, ghosts      *list.List
 	total             float64 // all requests, decayed over the window
