--- a/control/control.go
+++ b/control/control.go
@@ -642,7 +642,7 @@
 	t.missed = t.missed || o.Result == Missing && kind == fills
 	// Where sizes are not told, the quickest answer seen for an object is its sending time: by the mean every
 	// large one was late, and the rooms were too small for good.
-	own := cmp.Or(r.sizedTime(t), t.entry.sending, p.sending)
+	own := cmp.Or(r.sizedTime(t), min(t.entry.sending, 2*p.sending), p.sending)
 	inTime := o.Spent <= p.due+int64(p.dueStretch*1e9*own)
 	good, bad := [2]float64{}, blame[o.Result] // of the cache, of the source
 	switch {
