--- a/control/control.go
+++ b/control/control.go
@@ -640,10 +640,7 @@
 	p, kind := t.product, d.kind
 	r.filling[kind]--
 	t.missed = t.missed || o.Result == Missing && kind == fills
-	// Where sizes are not told, the quickest answer seen for an object is its sending time: by the mean every
-	// large one was late, and the rooms were too small for good.
-	own := cmp.Or(r.sizedTime(t), min(t.entry.sending, 2*p.sending), p.sending)
-	inTime := o.Spent <= p.due+int64(p.dueStretch*1e9*own)
+	inTime := o.Spent <= p.due+int64(p.dueStretch*1e9*cmp.Or(r.sizedTime(t), p.sending))
 	good, bad := [2]float64{}, blame[o.Result] // of the cache, of the source
 	switch {
 	case o.Result == Good || o.Result == Missing:
@@ -678,7 +675,6 @@
 		} else if o.Note <= 1 {
 			p.sending += (float64(o.Spent)/1e9 - p.sending) / p.seen
 		}
-		t.entry.sending = min(cmp.Or(t.entry.sending, math.Inf(1)), float64(o.Spent)/1e9)
 		t.entry.servedUntil = now + keepSpan
 		if e := t.entry; o.Note == 2 || o.Note == 3 {
 			e.age = 0
--- a/control/types.go
+++ b/control/types.go
@@ -156,9 +156,8 @@
 	age         int64 // accepted age, held until ageEnds; 0 is not set
 	ageEnds     int64
 	ghost       bool
-	sending     float64 // the quickest answer seen, seconds; 0 is none
-	gaveUp      int64   // when a retrieval of it was last given up
-	servedUntil int64   // until when it is taken to be kept
+	gaveUp      int64 // when a retrieval of it was last given up
+	servedUntil int64 // until when it is taken to be kept
 	place       *list.Element
 }
 
