--- a/control/control.go
+++ b/control/control.go
@@ -198,11 +198,11 @@
 // late already, and took the place of what was not. It covers jumps in traffic, crowding by large, hot or
 // once-only objects, empty caches, purges, a slow source; it hurts where answers are late for a moment only.
 func (r *Router) room(now int64, t *Retrieval, cache *member) bool {
-	load, kind := r.load(cache), t.kind(now)
+	load, kind := r.load(now, cache), t.kind(now)
 	limit := r.rooms[kind]
 	if kind > 0 {
-		_, units := r.inHand()
-		load = r.filling[kind] * r.sharers(nil) / units
+		_, kinds, units := inHand(now, r.caches)
+		load = kinds[kind] * r.sharers(nil) / units
 	}
 	if t.payoff/r.sendingTime(t) < r.most(func(p *product) float64 { return p.payoff / p.sending })/2 {
 		limit *= roomCheap
@@ -228,17 +228,24 @@
 // load is what a cache has in hand for its size, as seen from here. The thinner this router's slice, the
 // less one dispatch tells: it is drawn towards the location's mean, as if one more had been seen at that.
 // Else, of many routers, each found every cache full that it had one dispatch at.
-func (r *Router) load(m *member) float64 {
-	out, units := r.inHand()
-	return (float64(len(m.out)) + out*r.sharers(nil)/units) / (max(m.Units, 0.01)/r.sharers(nil) + 1)
+func (r *Router) load(now int64, m *member) float64 {
+	own, _, size := inHand(now, []*member{m})
+	out, _, units := inHand(now, r.caches)
+	return (own + out*r.sharers(nil)/units) / (size/r.sharers(nil) + 1)
 }
 
-// inHand is what is out at all caches of the location, and their size.
-func (r *Router) inHand() (out, units float64) {
-	for _, m := range r.caches {
-		out, units = out+float64(len(m.out)), units+m.Units
+// inHand is what is out at some caches and may still be in time, in all and by kind, and their size. What is late
+// does not count: in thin slices a few dispatches stuck at silent members took the room of all.
+func inHand(now int64, members []*member) (out float64, kinds [3]float64, units float64) {
+	for _, m := range members {
+		units += m.Units
+		for _, d := range m.out {
+			if now < d.lateFrom {
+				out, kinds[d.kind] = out+1, kinds[d.kind]+1
+			}
+		}
 	}
-	return out, max(units, 0.01)
+	return out, kinds, max(units, 0.01)
 }
 
 // afford draws a further dispatch from what first ones have put aside, by payoff. Without this bound a jam
@@ -351,13 +358,13 @@
 		spread = max(1, min(1+int(hot), 3, len(ranked)))
 	}
 	slices.SortStableFunc(ranked[:min(spread, len(ranked))], func(a, b *member) int {
-		return cmp.Compare(r.load(a), r.load(b))
+		return cmp.Compare(r.load(now, a), r.load(now, b))
 	})
 	// Where the home has no room, another cache with plenty fills the object, if there is room for fills:
 	// one hot or large object crowded its caches while the others had room.
 	t.away = false
 	if cache = r.pick(now, t, ranked); cache != nil && t.entry.servedUntil > now && !r.room(now, t, cache) {
-		roomy := slices.DeleteFunc(ranked, func(m *member) bool { return r.load(m) >= r.rooms[0]/2 })
+		roomy := slices.DeleteFunc(ranked, func(m *member) bool { return r.load(now, m) >= r.rooms[0]/2 })
 		if other := r.pick(now, t, roomy); other != nil {
 			cache, t.away = other, true
 		}
@@ -397,7 +404,7 @@
 
 func (r *Router) send(now int64, t *Retrieval, cache, source *member) Decision {
 	d := &dispatch{sent: now, cache: cache, source: source, kind: t.kind(now)}
-	r.filling[d.kind]++
+	d.lateFrom = now + r.dueIn(t)
 	t.dispatches = append(t.dispatches, d)
 	t.out++
 	out := Dispatch{Cache: cache.ID, Within: t.HardStop - now}
@@ -638,9 +645,8 @@
 // judge draws from an outcome what it tells of the cache, the source, the room and the product.
 func (r *Router) judge(now int64, t *Retrieval, d *dispatch, o Outcome) {
 	p, kind := t.product, d.kind
-	r.filling[kind]--
 	t.missed = t.missed || o.Result == Missing && kind == fills
-	inTime := o.Spent <= p.due+int64(p.dueStretch*1e9*cmp.Or(r.sizedTime(t), p.sending))
+	inTime := o.Spent <= r.dueIn(t)
 	good, bad := [2]float64{}, blame[o.Result] // of the cache, of the source
 	switch {
 	case o.Result == Good || o.Result == Missing:
@@ -767,6 +773,11 @@
 	return t.SizeKB / max(get(r.set, "clientKBPerS", 1.), 1)
 }
 
+// dueIn is how long after its sending an answer is in time.
+func (r *Router) dueIn(t *Retrieval) int64 {
+	return t.product.due + int64(t.product.dueStretch*1e9*cmp.Or(r.sizedTime(t), t.product.sending))
+}
+
 // sendingTime is what a retrieval costs a member's link.
 func (r *Router) sendingTime(t *Retrieval) float64 { return max(t.product.sending, r.sizedTime(t)) }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -388,7 +388,7 @@
 		home := r.Where(start, first).Dispatch.Cache
 		r.After(start, first, Outcome{Result: Good, Closed: true, Spent: second / 10})
 		for range 12 { // the home's room of 2 for its size, shared by two routers
-			r.members[home].out = append(r.members[home].out, &dispatch{sent: start, cache: r.members[home]})
+			r.members[home].out = append(r.members[home].out, &dispatch{sent: start, cache: r.members[home], lateFrom: forever})
 		}
 		if d := hold(r, "a"); d.Verdict != Send || d.Dispatch.Cache == home {
 			t.Errorf("verdict %v, to %d", d.Verdict, d.Dispatch.Cache)
@@ -413,8 +413,8 @@
 			if d.Verdict != c.want || d.Verdict == Send && (d.Dispatch.Held || d.Dispatch.Source != first.Source) {
 				t.Errorf("then %+v", d)
 			}
-			if c.want == Send && (r.filling[fetches] != 1 || r.filling[fills] != 0) {
-				t.Errorf("in hand by kind: %v", r.filling)
+			if _, kinds, _ := inHand(start, r.caches); c.want == Send && (kinds[fetches] != 1 || kinds[fills] != 0) {
+				t.Errorf("in hand by kind: %v", kinds)
 			}
 		})
 	}
@@ -431,10 +431,10 @@
 			m, ret := r.members[1], ask("harmless", "a")
 			ret.product, ret.payoff, ret.entry = r.products["harmless"], 2, &entry{servedUntil: forever}
 			for range c.out {
-				m.out = append(m.out, &dispatch{sent: start, cache: m})
+				m.out = append(m.out, &dispatch{sent: start, cache: m, lateFrom: forever})
 			}
 			if got := r.room(start, ret, m); got != c.admits {
-				t.Errorf("admitted: %v, load %.2f", got, r.load(m))
+				t.Errorf("admitted: %v, load %.2f", got, r.load(start, m))
 			}
 		})
 	}
--- a/control/types.go
+++ b/control/types.go
@@ -141,7 +141,8 @@
 	trial         *member
 	ended         bool
 	result        Result
-	kind          int // the room it counts in
+	kind          int   // the room it counts in
+	lateFrom      int64 // from when an answer is late
 }
 
 // entry is one object of the rate table: a part is filled and kept on its own, so each is an object to the
@@ -200,7 +201,6 @@
 	subscribed, asked bool
 	askAt             int64
 	tenants           map[string]*tenant
-	filling           [3]float64 // in hand by kind
 	tight             [3]bool
 	rooms             [3]float64 // in hand that comes in time, for the caches' size, by kind
 	spare             float64    // further dispatches put aside
