What is late no longer counts in the rooms, where sizes are untold after three times

Cause: in thin slices a router's room is three or four dispatches, and a few stuck at silent members or at a slow origin took all of it. Also covers hanging, vanished and slowing members. May hurt in a jam of links, where late answers still draw: there the room shrinks by their lateness. Tenants' quotas go out of module and adapter: no deployment has tenants.

--- a/control/control.go
+++ b/control/control.go
@@ -80,7 +80,7 @@
 	r := &Router{set: set, log: log, seed: seed, started: now, home: get(set, "location", ""),
 		products: map[string]*product{}, members: map[uint32]*member{}, table: map[entryKey]*entry{},
 		live: list.New(), ghosts: list.New(), totalAt: now, purges: map[string]int64{},
-		tenants: map[string]*tenant{}, spare: furtherMost, rooms: roomFirst}
+		spare: furtherMost, rooms: roomFirst}
 	for i, name := range get[[]string](set, "product.names", nil) {
 		due, none := at(set, "product.due", i, second), int64(0)
 		r.products[name] = &product{due: due, fresh: at(set, "product.fresh", i, none),
@@ -90,9 +90,6 @@
 			scope:  at(set, "product.scope", i, "cell"), neverKept: at(set, "product.neverKept", i, false),
 			sending: float64(due) / 1e9, answer: float64(due) / 1e9, seen: 10}
 	}
-	for i, name := range get[[]string](set, "tenant.names", nil) {
-		r.tenants[name] = &tenant{quota: at(set, "tenant.quota", i, math.Inf(1)), counted: now}
-	}
 	return r, nil
 }
 
@@ -103,19 +100,12 @@
 		if t.product = r.products[t.Product]; t.product == nil {
 			return Decision{Verdict: Abort}
 		}
-		t.arrived, t.payoff = now, t.product.payoff
-		if tn := r.tenants[t.Tenant]; tn != nil {
-			if tn.count = fade(tn.count, now-tn.counted, second) + 1; tn.count > tn.quota/r.sharers(nil) {
-				t.payoff *= get(r.set, "tenant.overSharePayoff", 1.)
-			}
-			tn.counted = now
-		}
-		t.entry = r.note(now, t)
+		t.arrived, t.entry = now, r.note(now, t)
 	}
-	if t.done || t.streaming {
+	switch {
+	case t.done || t.streaming:
 		return Decision{}
-	}
-	if t.out > 0 {
+	case t.out > 0:
 		return r.rethink(now, t)
 	}
 	return r.next(now, t)
@@ -130,11 +120,10 @@
 	d.ended, d.result = true, o.Result
 	t.out--
 	r.judge(now, t, d, o)
-	if o.Closed || t.done {
-		t.done = true
+	switch t.done = t.done || o.Closed; {
+	case t.done:
 		return r.callOff(t, -1)
-	}
-	if t.out > 0 || t.streaming {
+	case t.out > 0 || t.streaming:
 		return Decision{}
 	}
 	return r.next(now, t)
@@ -175,11 +164,9 @@
 
 // next picks the next dispatch of a retrieval that has none out, or holds it, or gives it up.
 func (r *Router) next(now int64, t *Retrieval) Decision {
-	if !r.repeatable(now, t) {
-		return r.giveUp(now, t)
-	}
 	cache, source := r.place(now, t)
 	switch {
+	case !r.repeatable(now, t):
 	case cache != nil && r.room(now, t, cache):
 		if r.afford(t) {
 			return r.send(now, t, cache, source)
@@ -204,11 +191,11 @@
 		_, kinds, units := inHand(now, r.caches)
 		load = kinds[kind] * r.sharers(nil) / units
 	}
-	if t.payoff/r.sendingTime(t) < r.most(func(p *product) float64 { return p.payoff / p.sending })/2 {
-		limit *= roomCheap
-	}
-	if t.Repeat {
-		limit *= roomCheap
+	best := r.most(func(p *product) float64 { return p.payoff / p.sending })
+	for _, cheap := range []bool{t.Repeat, t.product.payoff/r.sendingTime(t) < best/2} {
+		if cheap {
+			limit *= roomCheap
+		}
 	}
 	return load < limit
 }
@@ -225,16 +212,15 @@
 	return hits
 }
 
-// load is what a cache has in hand for its size, as seen from here. The thinner this router's slice, the
-// less one dispatch tells: it is drawn towards the location's mean, as if one more had been seen at that.
-// Else, of many routers, each found every cache full that it had one dispatch at.
+// load is what a cache has in hand for its size, as seen from here. In a thin slice one dispatch tells little
+// (it seemed to fill a cache): it is drawn to the location's mean, as if one more had been seen at that.
 func (r *Router) load(now int64, m *member) float64 {
 	own, _, size := inHand(now, []*member{m})
 	out, _, units := inHand(now, r.caches)
 	return (own + out*r.sharers(nil)/units) / (size/r.sharers(nil) + 1)
 }
 
-// inHand is what is out at some caches and may still be in time, in all and by kind, and their size. What is late
+// inHand is what is out at some caches and may be in time, in all and by kind, and their size. What is late
 // does not count: in thin slices a few dispatches stuck at silent members took the room of all.
 func inHand(now int64, members []*member) (out float64, kinds [3]float64, units float64) {
 	for _, m := range members {
@@ -254,7 +240,7 @@
 func (r *Router) afford(t *Retrieval) bool {
 	switch n := len(t.dispatches); {
 	case n == 0:
-		r.spare = min(r.spare+furtherShare*t.payoff/r.most(payoff), furtherMost)
+		r.spare = min(r.spare+furtherShare*t.product.payoff/r.most(payoff), furtherMost)
 	case t.dispatches[n-1].result == Missing: // it cost next to nothing
 	case r.spare < 1:
 		return false
@@ -264,8 +250,8 @@
 	return true
 }
 
-// rethink looks after a retrieval whose dispatch is out: if the cache or the source has become suspect since,
-// it goes elsewhere, beside the first where that is allowed, else in its place.
+// rethink sends a retrieval that waits for what has become suspect elsewhere, beside its first dispatch where
+// that is allowed, else in its place.
 func (r *Router) rethink(now int64, t *Retrieval) Decision {
 	var stuck Decision
 	for i, d := range t.dispatches {
@@ -289,8 +275,7 @@
 	return Decision{}
 }
 
-// stuck tells whether a dispatch waits for a suspect. A trial gets its time: called off at once, as it was,
-// it taught nothing and the suspect stayed one.
+// stuck tells whether a dispatch waits for a suspect. A trial gets its time, else it teaches nothing.
 func (d *dispatch) stuck(now int64, m *member) bool {
 	return m != nil && m.suspect && (d.trial != m || now-d.sent > trialFirst)
 }
@@ -308,7 +293,7 @@
 
 // repeatable tells whether a further dispatch is allowed, by number and payoff, and does no harm: rule 2.
 func (r *Router) repeatable(now int64, t *Retrieval) bool {
-	allowed := min(int(get(r.set, "dispatches.most", int64(3))), 2+int(2*t.payoff/r.most(payoff)))
+	allowed := min(int(get(r.set, "dispatches.most", int64(3))), 2+int(2*t.product.payoff/r.most(payoff)))
 	if len(t.dispatches) >= allowed || now >= t.HardStop {
 		return false
 	}
@@ -376,9 +361,8 @@
 	return cache, r.pick(now, t, sources)
 }
 
-// pick takes the first member that is within its cold budget, not suspect and not tried for this retrieval
-// before; a suspect that is due for a trial is taken in its turn. If there is none, the first within its
-// budget: where all are suspect, something else is wrong than they.
+// pick takes the first member within its cold budget, not suspect (or due for a trial) and not tried for this
+// retrieval. If there is none, the first within its budget: where all are suspect, it is not they.
 func (r *Router) pick(now int64, t *Retrieval, ranked []*member) (fallback *member) {
 	for _, m := range ranked {
 		if !r.fits(now, m, r.sendingTime(t)) || m.Location == r.home && !sameGroup(t, m) {
@@ -404,7 +388,9 @@
 
 func (r *Router) send(now int64, t *Retrieval, cache, source *member) Decision {
 	d := &dispatch{sent: now, cache: cache, source: source, kind: t.kind(now)}
-	d.lateFrom = now + r.dueIn(t)
+	if d.lateFrom = now + r.dueIn(t); t.SizeKB == 0 {
+		d.lateFrom += 2 * r.dueIn(t) // it may be large, and then it draws on the links still
+	}
 	t.dispatches = append(t.dispatches, d)
 	t.out++
 	out := Dispatch{Cache: cache.ID, Within: t.HardStop - now}
@@ -803,8 +789,8 @@
 	return amount <= guardMargin*factor*capacity*float64(window)/1e9/r.sharers(m)
 }
 
-// rank orders members for an object by rendezvous hashing weighted by their size: a lost member's objects
-// spread over all others, and a small cache gets no more than it can send. It is the same at every router.
+// rank orders members by rendezvous hashing weighted by size, alike at every router: a lost member's objects
+// spread over all others, and a small cache gets no more than it can send.
 func rank(key entryKey, members []*member) []*member {
 	h := fnv.New64a()
 	h.Write(binary.LittleEndian.AppendUint64([]byte(key.object), uint64(key.part)))
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -388,7 +388,8 @@
 		home := r.Where(start, first).Dispatch.Cache
 		r.After(start, first, Outcome{Result: Good, Closed: true, Spent: second / 10})
 		for range 12 { // the home's room of 2 for its size, shared by two routers
-			r.members[home].out = append(r.members[home].out, &dispatch{sent: start, cache: r.members[home], lateFrom: forever})
+			m := r.members[home]
+			m.out = append(m.out, &dispatch{sent: start, cache: m, lateFrom: forever})
 		}
 		if d := hold(r, "a"); d.Verdict != Send || d.Dispatch.Cache == home {
 			t.Errorf("verdict %v, to %d", d.Verdict, d.Dispatch.Cache)
@@ -420,6 +421,28 @@
 	}
 }
 
+func TestLateLeavesTheRoom(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		sized float64
+		after int64
+		sends bool
+	}{{"not yet late", 100, second / 3, false}, {"late", 100, second, true},
+		{"perhaps large", 0, second, false}, {"late whatever its size", 0, 2 * second, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			r, verdict := newRouter(t, nil), Send
+			for i := 0; verdict == Send; i++ { // until silent members hold all the room
+				ret := ask("harmless", fmt.Sprint(i))
+				ret.SizeKB = c.sized
+				verdict = r.Where(start, ret).Verdict
+			}
+			if got := r.Where(start+c.after, ask("harmless", "next")).Verdict == Send; got != c.sends {
+				t.Errorf("sent: %v", got)
+			}
+		})
+	}
+}
+
 func TestThinSlices(t *testing.T) {
 	for _, c := range []struct {
 		routers int64
@@ -429,7 +452,7 @@
 		t.Run(fmt.Sprintf("%d in hand, one of %d routers", c.out, c.routers), func(t *testing.T) {
 			r := newRouter(t, Settings{"location.routers": []int64{0, c.routers, 2}})
 			m, ret := r.members[1], ask("harmless", "a")
-			ret.product, ret.payoff, ret.entry = r.products["harmless"], 2, &entry{servedUntil: forever}
+			ret.product, ret.entry = r.products["harmless"], &entry{servedUntil: forever}
 			for range c.out {
 				m.out = append(m.out, &dispatch{sent: start, cache: m, lateFrom: forever})
 			}
--- a/control/types.go
+++ b/control/types.go
@@ -22,7 +22,6 @@
 // pointer to every call; the rest belongs to the module.
 type Retrieval struct {
 	Product  string
-	Tenant   string
 	Object   string
 	Group    int64
 	Part     int64
@@ -172,7 +171,6 @@
 	product    *product
 	entry      *entry
 	arrived    int64
-	payoff     float64
 	dispatches []*dispatch
 	out        int
 	streaming  bool
@@ -200,13 +198,7 @@
 	purges            map[string]int64 // told purges by object, and by group under its number
 	subscribed, asked bool
 	askAt             int64
-	tenants           map[string]*tenant
 	tight             [3]bool
 	rooms             [3]float64 // in hand that comes in time, for the caches' size, by kind
 	spare             float64    // further dispatches put aside
 }
-
-type tenant struct {
-	quota, count float64
-	counted      int64
-}
--- a/host/host.go
+++ b/host/host.go
@@ -203,7 +203,7 @@
 	if err := errors.Join(err1, err2, err3, err4, err5); err != nil {
 		return err
 	}
-	t := &hand{id: event.Fields[1], Retrieval: control.Retrieval{Product: event.Fields[9], Tenant: event.Text(3),
+	t := &hand{id: event.Fields[1], Retrieval: control.Retrieval{Product: event.Fields[9],
 		Object: event.Text(8), Group: group, Part: part, SizeKB: size, HardStop: stop, Repeat: bits&2 != 0,
 		Write: bits&4 != 0}}
 	in.taken[t.id] = t
--- a/host/settings.go
+++ b/host/settings.go
@@ -31,7 +31,6 @@
 	{"", "discovery", "list.mode", text},
 	{"", "weights", "units", text},
 	{"", "worthBy", "payoff.by", text},
-	{"", "overShareWorth", "tenant.overSharePayoff", number},
 	{"familyInfo", "zoneBalancers", "location.routers", whole},
 	{"familyInfo", "homeHub", "location.hub", whole},
 	{"familyInfo", "feedKbPerS", "location.linkKBPerS", number},
@@ -72,8 +71,6 @@
 	{"profiles", "deadlineS", "product.hardStop", seconds},
 	{"profiles", "lateWorth", "product.latePayoff", number},
 	{"profiles", "streamed", "product.streamed", flag},
-	{"realms", "name", "tenant.names", text}, {"realms", "quotaPerS", "tenant.quota", number},
-	{"realms", "portion", "tenant.share", number},
 	{"callers", "marksRetry", "client.marksRepeats", flag},
 }
 
