--- a/control/control.go
+++ b/control/control.go
@@ -48,7 +48,6 @@
 	keepSpan     = 10 * second // for so long an object served is taken to be kept
 	roomMost     = 4.          // in hand for the caches' size
 	roomLeast    = 0.3
-	missingSpan  = 30.  // answers over which the share of likely fills that were is taken
 	roomDown     = 0.08 // part lost by each late one
 	roomCheap    = 0.7  // part of the room for what earns least for its bytes
 	guardMargin  = 0.6  // part of a cold budget that is used: weights are rough, and chance needs room
@@ -81,7 +80,7 @@
 	r := &Router{set: set, log: log, seed: seed, started: now, home: get(set, "location", ""),
 		products: map[string]*product{}, members: map[uint32]*member{}, table: map[entryKey]*entry{},
 		live: list.New(), ghosts: list.New(), totalAt: now, purges: map[string]int64{},
-		spare: furtherMost, rooms: roomFirst, missing: 1}
+		spare: furtherMost, rooms: roomFirst}
 	for i, name := range get[[]string](set, "product.names", nil) {
 		due, none := at(set, "product.due", i, second), int64(0)
 		r.products[name] = &product{due: due, fresh: at(set, "product.fresh", i, none),
@@ -190,7 +189,7 @@
 	limit := r.rooms[kind]
 	if kind > 0 {
 		_, kinds, units := inHand(now, r.caches)
-		load = kinds[kind] * r.missing * r.sharers(nil) / units
+		load = kinds[kind] * r.sharers(nil) / units
 	}
 	best := r.most(func(p *product) float64 { return p.payoff / p.sending })
 	for _, cheap := range []bool{t.Repeat, t.product.payoff/r.sendingTime(t) < best/2} {
@@ -633,12 +632,6 @@
 func (r *Router) judge(now int64, t *Retrieval, d *dispatch, o Outcome) {
 	p, kind := t.product, d.kind
 	t.missed = t.missed || o.Result == Missing && kind == fills
-	if told := o.Note >= 1 && o.Note <= 5; told && kind == fills {
-		if o.Note == 1 || o.Note == 5 {
-			kind = hits // after all: in a thin slice others have had it fetched
-		}
-		r.missing += (float64(kind) - r.missing) / missingSpan
-	}
 	inTime := o.Spent <= r.dueIn(t)
 	good, bad := [2]float64{}, blame[o.Result] // of the cache, of the source
 	switch {
--- a/control/types.go
+++ b/control/types.go
@@ -198,7 +198,6 @@
 	purges            map[string]int64 // told purges by object, and by group under its number
 	subscribed, asked bool
 	askAt             int64
-	missing           float64 // share of likely fills that were
 	tight             [3]bool
 	rooms             [3]float64 // in hand that comes in time, for the caches' size, by kind
 	spare             float64    // further dispatches put aside
