--- a/control/control.go
+++ b/control/control.go
@@ -667,7 +667,7 @@
 		} else if o.Note <= 1 {
 			p.sending += (float64(o.Spent)/1e9 - p.sending) / p.seen
 		}
-		t.entry.servedUntil = now + keepSpan*int64(r.sharers(nil))
+		t.entry.servedUntil = now + keepSpan
 		if e := t.entry; o.Note == 2 || o.Note == 3 {
 			e.age = 0
 			r.setAge(now, t)
