Parents are asked first only while fetches come in time no better than fills

The room for fetches starts small with each tight spell; once it outgrows that for fills, fetches are not what is late.

--- a/control/control.go
+++ b/control/control.go
@@ -64,7 +64,7 @@
 	fetches
 )
 
-var roomFirst = [3]float64{2, 1.2, 1.2}
+var roomFirst = [3]float64{2, 1.2, 0.4}
 
 // roomUp is what an answer in time adds to its room, more while tight: stalls outlasted themselves by 10 s.
 var roomUp = map[bool]float64{false: 0.006, true: 0.018}
@@ -410,9 +410,9 @@
 	}
 	out.Source = source.ID
 	if !t.product.neverKept && !t.Write {
-		// While tight a parent is first asked for what it holds: what waited for a slow origin took the room
-		// of what the parents had.
-		out.Held = d.kind == fills && (r.tight[fills] || r.tight[fetches]) && source != r.origin
+		// While fills are tight, and fetches come in time no better, a parent is first asked for what it holds:
+		// what waited for a slow origin took the room of what the parents had.
+		out.Held = d.kind == fills && r.tight[fills] && r.rooms[fetches] < r.rooms[fills] && source != r.origin
 		out.Join = get(r.set, "joins", false)
 		out.Age, out.Renew = r.age(now, t)
 		// Ranks shield reused objects from those asked for once; a third kept what had been hot for good.
@@ -655,7 +655,9 @@
 	}
 	room, first := r.rooms[kind], roomFirst[kind]
 	if r.tight[kind] && room > first || !r.tight[kind] && room < first/2 {
-		r.tight[kind] = !r.tight[kind]
+		if r.tight[kind] = !r.tight[kind]; kind == fills {
+			r.rooms[fetches] = roomFirst[fetches]
+		}
 		name := []string{"hits", "fills", "fetches"}[kind]
 		r.log(fmt.Sprintf("room for %s tight: %v, at %.2f", name, r.tight[kind], room))
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -406,6 +406,11 @@
 		t.Run(c.name, func(t *testing.T) {
 			r, ret := newRouter(t, nil), ask("harmless", "a")
 			r.tight[fills] = true
+			r.rooms[fetches] = roomMost
+			if r.Where(start, ask("harmless", "other")).Dispatch.Held {
+				t.Error("asked first though fetches come in time")
+			}
+			r.rooms[fetches] = roomFirst[fetches]
 			first := r.Where(start, ret).Dispatch
 			if !first.Held {
 				t.Fatal("the parent may fetch")
