--- a/control/control.go
+++ b/control/control.go
@@ -172,8 +172,7 @@
 			return r.send(now, t, cache, source)
 		}
 	case now < t.arrived+t.product.due/8 && now+2*holdStep < t.HardStop:
-		// Nothing usable now (empty list, all cold and at their budget, fills crowded): wait a moment, for
-		// what waited longer was late after all, and never past the client's own time (one was lost so).
+		// What waited longer was late after all; never past the client's own time: one was lost so.
 		return Decision{}
 	}
 	return r.giveUp(now, t)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -407,9 +407,11 @@
 			r, ret := newRouter(t, nil), ask("harmless", "a")
 			r.tight[fills] = true
 			r.rooms[fetches] = roomMost
-			if r.Where(start, ask("harmless", "other")).Dispatch.Held {
+			other := ask("harmless", "other")
+			if r.Where(start, other).Dispatch.Held {
 				t.Error("asked first though fetches come in time")
 			}
+			r.After(start, other, Outcome{Result: Good, Closed: true})
 			r.rooms[fetches] = roomFirst[fetches]
 			first := r.Where(start, ret).Dispatch
 			if !first.Held {
