--- a/control/control_test.go
+++ b/control/control_test.go
@@ -405,7 +405,7 @@
 	}{{"what it lacks goes on as a fetch", Missing, Send}, {"what it holds is served", Good, Wait}} {
 		t.Run(c.name, func(t *testing.T) {
 			r, ret := newRouter(t, nil), ask("harmless", "a")
-			r.tight[fills] = true
+			r.tight[fills], r.rooms[fills] = true, 1
 			r.rooms[fetches] = roomMost
 			other := ask("harmless", "other")
 			if r.Where(start, other).Dispatch.Held {
