--- a/control/control.go
+++ b/control/control.go
@@ -36,7 +36,7 @@
 	rankAgain  = 0.2 // earlier requests in the window from which an object is kept at rank 2
 
 	silentFrom   = 6.  // evidence of silence from which a member is suspect: e^-6 by chance
-	silentMost   = 3.  // of it by one dispatch
+	silentMost   = 2.  // of it by one dispatch
 	silentLeast  = 1.2 // answer times that one must have waited
 	badFrom      = 2.5 // failures, lately, from which a member is suspect
 	badShare     = 0.3 // part of them that has failed, beyond what its peers show
@@ -711,8 +711,7 @@
 		peers = r.parents
 	}
 	silent, good, bad := r.signs(now, m)
-	from := max(silentMost, silentFrom/math.Sqrt(r.sharers(nil))) // a thin slice never has many out at one
-	if silent < from && bad < badFrom {
+	if silent < silentFrom && bad < badFrom {
 		return
 	}
 	var allSilent, allGood, allBad float64
@@ -724,7 +723,7 @@
 	}
 	silent -= allSilent / float64(max(1, len(peers)-1))
 	apart := bad/(good+bad) - allBad/max(allGood+allBad, 1)
-	if silent < from && (bad < badFrom || apart < badShare) {
+	if silent < silentFrom && (bad < badFrom || apart < badShare) {
 		return
 	}
 	m.suspect, m.backoff, m.trial = true, trialFirst, false
