--- a/control/control.go
+++ b/control/control.go
@@ -35,7 +35,7 @@
 	repeatMost = 10. // requests in the window up to which one soon after a dismissal is taken for its repeat
 	rankAgain  = 0.2 // earlier requests in the window from which an object is kept at rank 2
 
-	silentFrom   = 10.  // evidence of silence from which a member is suspect: e^-6 by chance
+	silentFrom   = 6.  // evidence of silence from which a member is suspect: e^-6 by chance
 	silentMost   = 2.  // of it by one dispatch
 	silentLeast  = 1.2 // answer times that one must have waited
 	badFrom      = 2.5 // failures, lately, from which a member is suspect
