Advice of 0.1 to 0.3 of the most instead of 0.5 to 1

Cause: who came back after half a second or more was late for its first try in any case, and its repeat was wasted. May hurt in long overload: repeats come sooner, which is why they go last.

--- a/control/control.go
+++ b/control/control.go
@@ -328,7 +328,7 @@
 	var advice int64
 	if get(r.set, "advice", false) {
 		// Spread, so that those turned away together don't come back together.
-		advice = int64((0.5 + 0.5*r.chance()) * float64(get(r.set, "advice.most", int64(0))))
+		advice = int64((0.1 + 0.2*r.chance()) * float64(get(r.set, "advice.most", int64(0))))
 	}
 	return Decision{Verdict: Dismiss, Advice: advice}
 }
