--- a/control/control.go
+++ b/control/control.go
@@ -50,6 +50,7 @@
 	roomLeast    = 0.3
 	roomDown     = 0.08 // part lost by each late one
 	roomCheap    = 0.7  // part of the room for what earns least for its bytes
+	adviceShare  = 0.2  // of the due time after which a dismissed client is to come back, at least
 	guardMargin  = 0.6  // part of a cold budget that is used: weights are rough, and chance needs room
 )
 
@@ -325,12 +326,12 @@
 			return Decision{Verdict: Abort}
 		}
 	}
-	var advice int64
-	if get(r.set, "advice", false) {
-		// Spread, so that those turned away together don't come back together.
-		advice = int64((0.1 + 0.2*r.chance()) * float64(get(r.set, "advice.most", int64(0))))
+	if !get(r.set, "advice", false) {
+		return Decision{Verdict: Dismiss}
 	}
-	return Decision{Verdict: Dismiss, Advice: advice}
+	// Soon enough to be in time, and spread, so that those turned away together don't come back together.
+	wait := int64(adviceShare * (1 + r.chance()) * float64(t.product.due))
+	return Decision{Verdict: Dismiss, Advice: min(wait, get(r.set, "advice.most", int64(0)))}
 }
 
 // place picks the cache and the fill source by the object's hash.
@@ -612,7 +613,6 @@
 	}
 }
 
-// tried takes the result of a suspect's trial.
 func (r *Router) tried(now int64, m *member, good bool) {
 	switch {
 	case m.suspect && good:
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -221,7 +221,7 @@
 				}
 				d = r.Where(now, ret)
 			}
-			if d.Verdict != Dismiss || d.Advice <= 0 {
+			if due := r.products["harmless"].due; d.Verdict != Dismiss || d.Advice <= 0 || d.Advice >= due/2 {
 				t.Errorf("verdict %v with advice %v", d.Verdict, d.Advice)
 			}
 		})
