--- a/control/control.go
+++ b/control/control.go
@@ -19,9 +19,10 @@
 )
 
 const (
-	second, forever = int64(1e9), int64(math.MaxInt64 / 2)
-	period          = second / 10 // of the one periodic timer
-	holdStep        = second / 20 // between two looks at a held retrieval
+	second   = int64(1e9)
+	forever  = int64(math.MaxInt64 / 2)
+	period   = second / 10 // of the one periodic timer
+	holdStep = second / 20 // between two looks at a held retrieval
 
 	exchange   = 2e-2 // the design's c: missed updates that one KB of filling is worth
 	unsizedKB  = 500. // the design's b where sizes are not told
@@ -34,20 +35,23 @@
 	repeatMost = 10. // requests in the window up to which one soon after a dismissal is taken for its repeat
 	rankAgain  = 0.2 // earlier requests in the window from which an object is kept at rank 2
 
-	silentFrom                = 6.  // evidence of silence from which a member is suspect: e^-6 by chance
-	badFrom                   = 2.5 // failures, lately, from which a member is suspect
-	badShare                  = 0.3 // part of them that has failed, beyond what its peers show
-	healthSpan                = 4 * second
-	trialFirst, trialMost     = second, 8 * second // until a suspect is tried again, doubling
-	silentMost, silentLeast   = 2., 1.2            // of it by one dispatch; answer times one must have waited
-	furtherShare, furtherMost = 0.15, 10.          // further dispatches put aside by a first one
-	keepSpan                  = 10 * second        // for so long an object served is taken to be kept
-	roomMost, roomLeast       = 4., 0.3            // in hand for the caches' size
-	roomDown                  = 0.08               // part lost by each late one
-	roomCheap                 = 0.7                // part of the room for what earns least for its bytes
-	adviceShare               = 0.2                // of the due time: when a dismissed client may return
-	guardChance               = 2.5                // deviations that chance keeps below its limit
-	guardMargin               = 0.6                // part of a cold budget that is used: weights are rough
+	silentFrom   = 6.  // evidence of silence from which a member is suspect: e^-6 by chance
+	silentMost   = 2.  // of it by one dispatch
+	silentLeast  = 1.2 // answer times that one must have waited
+	badFrom      = 2.5 // failures, lately, from which a member is suspect
+	badShare     = 0.3 // part of them that has failed, beyond what its peers show
+	healthSpan   = 4 * second
+	trialFirst   = second // until a suspect is tried again; doubles up to trialMost
+	trialMost    = 8 * second
+	furtherShare = 0.15 // further dispatches that each first one of best payoff puts aside
+	furtherMost  = 10.
+	keepSpan     = 10 * second // for so long an object served is taken to be kept
+	roomMost     = 4.          // in hand for the caches' size
+	roomLeast    = 0.3
+	roomDown     = 0.08 // part lost by each late one
+	roomCheap    = 0.7  // part of the room for what earns least for its bytes
+	adviceShare  = 0.2  // of the due time after which a dismissed client is to come back, at least
+	guardMargin  = 0.6  // part of a cold budget that is used: weights are rough, and chance needs room
 )
 
 // blame is what an outcome counts against the cache and against the source.
@@ -326,8 +330,7 @@
 		return Decision{Verdict: Dismiss}
 	}
 	// Soon enough to be in time, and spread, so that those turned away together don't come back together.
-	r.draws++
-	wait := int64(adviceShare * (1 + r.chance(r.draws)) * float64(t.product.due))
+	wait := int64(adviceShare * (1 + r.chance()) * float64(t.product.due))
 	return Decision{Verdict: Dismiss, Advice: min(wait, get(r.set, "advice.most", int64(0)))}
 }
 
@@ -780,20 +783,11 @@
 	if m == r.origin || m.coldFrom == 0 || now >= m.coldFrom+span {
 		return true
 	}
-	limit := factor * float64(window) / 1e9 * m.Units *
-		(share + (1-share)*float64(max(0, now-m.coldFrom))/float64(span))
-	alone := len(m.spent) == 0
+	capacity := m.Units * (share + (1-share)*float64(max(0, now-m.coldFrom))/float64(span))
 	for _, c := range m.spent {
 		amount += c.amount
 	}
-	if amount <= guardMargin*limit/r.sharers(m) {
-		return true
-	}
-	// A share below one dispatch was never used: now one goes out in some windows, by seeded chance. All routers
-	// together mean so few that as Poisson draws they pass the limit in less than one window of a thousand.
-	many := limit / amount
-	meant := min(guardMargin*many, many-guardChance*math.Sqrt(many))
-	return alone && r.chance(m.ID, uint32(now/window)) < meant/r.sharers(m)
+	return amount <= guardMargin*factor*capacity*float64(window)/1e9/r.sharers(m)
 }
 
 // rank orders members by rendezvous hashing weighted by size, alike at every router: a lost member's objects
@@ -814,11 +808,9 @@
 	return ranked
 }
 
-// chance is a draw from [0, 1) of the instance's own, by its seed and counters.
-func (r *Router) chance(counters ...uint32) float64 {
+// chance is a draw from [0, 1) of the instance's own.
+func (r *Router) chance() float64 {
+	r.draws++
 	b := binary.LittleEndian.AppendUint64(nil, r.seed)
-	for _, c := range counters {
-		b = binary.LittleEndian.AppendUint32(b, c)
-	}
-	return float64(crc32.ChecksumIEEE(b)) / (1 << 32)
+	return float64(crc32.ChecksumIEEE(binary.LittleEndian.AppendUint32(b, r.draws))) / (1 << 32)
 }
