--- a/control/control.go
+++ b/control/control.go
@@ -55,7 +55,7 @@
 )
 
 // blame is what an outcome counts against the cache and against the source.
-var blame = map[Result][2]float64{Full: {1, 0.5}, Late: {0.5, 0.5}, Faulty: {0.5, 0}, Unreached: {1, 0},
+var blame = map[Result][2]float64{Full: {0.3, 0.5}, Late: {0.5, 0.5}, Faulty: {0.5, 0}, Unreached: {1, 0},
 	Broken: {1, 0}}
 
 // The kinds of rooms, and what is in hand in them for the caches' size at start.
