--- a/control/control.go
+++ b/control/control.go
@@ -649,8 +649,7 @@
 	switch {
 	case o.Result == Good && inTime:
 		r.rooms[kind] = min(r.rooms[kind]+roomUp[r.tight[kind]], roomMost)
-	case (o.Result == Good || o.Result == Late || o.Result == Full) && !d.cache.suspect &&
-		(d.source == nil || !d.source.suspect):
+	case (o.Result == Good || o.Result == Late) && !d.cache.suspect && (d.source == nil || !d.source.suspect):
 		r.rooms[kind] = max(r.rooms[kind]*(1-roomDown), roomLeast)
 	}
 	room, first := r.rooms[kind], roomFirst[kind]
