--- a/control/control.go
+++ b/control/control.go
@@ -374,12 +374,7 @@
 			broke := d.ended && (d.result == Broken || d.result == Faulty || d.result == Missing)
 			return !broke && (d.cache == m || d.source == m)
 		})
-		// Clients' repeats go first on trials: they have least to lose.
-		from := m.trialAt + trialFirst
-		if t.Repeat {
-			from = m.trialAt
-		}
-		trial := now >= from && !m.trial && len(t.dispatches) == 0 && (m.Location == r.home &&
+		trial := now >= m.trialAt && !m.trial && len(t.dispatches) == 0 && (m.Location == r.home &&
 			!get(r.set, "probe", false) || m.Location != r.home && t.entry.servedUntil <= now)
 		if !tried && (!m.suspect || trial) {
 			return m
