--- a/control/control.go
+++ b/control/control.go
@@ -43,7 +43,7 @@
 	healthSpan   = 4 * second
 	trialFirst   = second // until a suspect is tried again; doubles up to trialMost
 	trialMost    = 8 * second
-	furtherShare = 0.06 // further dispatches that each first one of best payoff puts aside
+	furtherShare = 0.15 // further dispatches that each first one of best payoff puts aside
 	furtherMost  = 10.
 	keepSpan     = 10 * second // for so long an object served is taken to be kept
 	roomMost     = 4.          // in hand for the caches' size
