--- a/control/control.go
+++ b/control/control.go
@@ -166,15 +166,6 @@
 // next picks the next dispatch of a retrieval that has none out, or holds it, or gives it up.
 func (r *Router) next(now int64, t *Retrieval) Decision {
 	cache, source := r.place(now, t)
-	if r.tight[fills] && cache != nil && r.origin != nil && t.kind(now) == fills && !r.room(now, t, cache) {
-		// Where all parents slow down none stands out: what has no room by them may go by the origin.
-		t.missed = true
-		if r.room(now, t, cache) {
-			source = r.origin
-		} else {
-			t.missed = false
-		}
-	}
 	switch {
 	case !r.repeatable(now, t):
 	case cache != nil && r.room(now, t, cache):
