--- a/control/control.go
+++ b/control/control.go
@@ -188,8 +188,8 @@
 	load, kind := r.load(now, cache), t.kind(now)
 	limit := r.rooms[kind]
 	if kind > 0 {
-		_, kinds, _ := inHand(now, r.caches)
-		load = kinds[kind] * r.sharers(nil) / r.widest
+		_, kinds, units := inHand(now, r.caches)
+		load = kinds[kind] * r.sharers(nil) / units
 	}
 	best := r.most(func(p *product) float64 { return p.payoff / p.sending })
 	for _, cheap := range []bool{t.Repeat, t.product.payoff/r.sendingTime(t) < best/2} {
@@ -579,9 +579,6 @@
 	byID := func(a, b *member) int { return cmp.Compare(a.ID, b.ID) }
 	slices.SortFunc(r.caches, byID)
 	slices.SortFunc(r.parents, byID)
-	// A link in stays as wide when caches are taken away: by those left, half of what came in time was dismissed.
-	_, _, units := inHand(now, r.caches)
-	r.widest = max(r.widest, units)
 }
 
 // ListFailed tells that asking for the list failed or the subscription broke; the next tick asks again.
--- a/control/types.go
+++ b/control/types.go
@@ -191,7 +191,6 @@
 	members           map[uint32]*member
 	caches, parents   []*member // ready, of the own location; ready, anywhere
 	origin            *member
-	widest            float64 // the most that the caches' sizes have come to: their location's link is sized by it
 	table             map[entryKey]*entry
 	live, ghosts      *list.List
 	total             float64 // all requests, decayed over the window
