--- /dev/null
+++ b/front/front_test.go
@@ -0,0 +1,152 @@
+package front
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"tealpath/router"
+)
+
+const patience = 5 * time.Second
+
+// serving is a front on loopback whose events are noted; its end is checked by the test's end.
+func serving(t *testing.T, limits Limits) (*Front, chan string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	events := make(chan string, 100)
+	f := New(listener, limits, func(e router.Event) {
+		events <- strings.TrimPrefix(fmt.Sprintf("%T", e), "router.")
+	}, func(string) {})
+	ctx, cancel := context.WithCancel(context.Background())
+	over := make(chan error, 1)
+	go func() { over <- f.Serve(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		select {
+		case err := <-over:
+			if err != nil || f.queued.Load() != 0 || len(f.clients) != 0 {
+				t.Errorf("it ended with %v, %d bytes queued, %d clients", err, f.queued.Load(), len(f.clients))
+			}
+		case <-time.After(patience):
+			t.Error("a connection's goroutines were left behind")
+		}
+	})
+	return f, events
+}
+
+func dial(t *testing.T, f *Front) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", f.listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(patience))
+	return conn
+}
+
+// message is a framed message with arguments.
+func message(kind byte, method string, seq uint32, args string) []byte {
+	m := binary.BigEndian.AppendUint32([]byte{0x80, 1, 0, kind}, uint32(len(method)))
+	m = binary.BigEndian.AppendUint32(append(m, method...), seq)
+	return append(binary.BigEndian.AppendUint32(nil, uint32(len(m)+len(args))), append(m, args...)...)
+}
+
+func next(t *testing.T, events chan string) string {
+	t.Helper()
+	select {
+	case e := <-events:
+		return e
+	case <-time.After(patience):
+		t.Fatal("no event")
+		return ""
+	}
+}
+
+func TestEvents(t *testing.T) {
+	call := string(message(1, "call", 5, "\x00"))
+	cancel := func(seq byte) string { return string(message(4, "cancel", 9, "\x08\x00\x01\x00\x00\x00"+string(seq)+"\x00")) }
+	for _, c := range []struct {
+		name, in string
+		want     string // up to the end of the connection, which the client brings about
+	}{
+		{"a request and its cancel", call + cancel(5), "Requested Cancelled Left"},
+		{"cancels for nothing", call + cancel(6) + cancel(5) + cancel(5), "Requested Cancelled Left"},
+		{"the client leaves with a request open", call, "Requested Left"},
+		{"a request cut short", call[:len(call)-1], "Left"},
+		{"health is none of the reducer's", string(message(1, "health", 5, "\x00")), "Left"},
+		{"answers and unknown one-way calls", string(message(2, "call", 5, "\x00")) + string(message(4, "odd", 5, "\x00")), "Left"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f, events := serving(t, Limits{Connections: 4, Bytes: 1 << 20})
+			conn := dial(t, f)
+			io.WriteString(conn, c.in)
+			time.Sleep(30 * time.Millisecond)
+			conn.Close()
+			got := ""
+			for e := ""; e != "Left"; got += " " + e {
+				e = next(t, events)
+			}
+			if got[1:] != c.want {
+				t.Errorf("events%s, want %s", got, c.want)
+			}
+		})
+	}
+}
+
+// Large answers to clients that do not read: memory stays bounded, what does not fit fails openly, others go on.
+func TestSlowReader(t *testing.T) {
+	const size, limit, calls = 200 << 10, 4 << 20, 200
+	f, events := serving(t, Limits{Connections: 4, Bytes: limit})
+	slow, quick := dial(t, f), dial(t, f)
+	for seq := range uint32(calls) {
+		slow.Write(message(1, "call", seq, "\x00"))
+		next(t, events)
+	}
+	for seq := range int32(calls) {
+		f.Answer(router.Answer{Client: 1, Seq: seq, Body: make([]byte, size)})
+	}
+	if got := f.queued.Load(); got > limit+calls*100 {
+		t.Errorf("%d bytes queued, limit %d", got, limit)
+	}
+	quick.Write(message(1, "health", 1, "\x00"))
+	if _, err := io.ReadFull(quick, make([]byte, 20)); err != nil {
+		t.Errorf("another client: %v", err)
+	}
+	whole, failed := 0, 0
+	for range calls {
+		var head [4]byte
+		if _, err := io.ReadFull(slow, head[:]); err != nil {
+			t.Fatal(err)
+		}
+		n := binary.BigEndian.Uint32(head[:])
+		if io.CopyN(io.Discard, slow, int64(n)); n > size {
+			whole++
+		} else {
+			failed++
+		}
+	}
+	if whole == 0 || failed == 0 {
+		t.Errorf("%d answers whole, %d failed", whole, failed)
+	}
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	f, _ := serving(t, Limits{Connections: 2, Bytes: 1 << 20})
+	for n, want := range []error{nil, nil, io.EOF} {
+		conn := dial(t, f)
+		conn.Write(message(1, "health", 1, "\x00"))
+		if _, err := io.ReadFull(conn, make([]byte, 4)); (err == nil) != (want == nil) {
+			t.Errorf("connection %d: %v", n, err)
+		}
+	}
+}
