Links that are quiet get company; reused addresses; log lines name members

A slow answer held up whatever was asked behind it on the same link. A member whose address another one has got is gone: what was sent to it would reach the new one, cold as it may be. An id that is open already on a link goes by another. A client's time is cut to its product's longest, as memory would be held for so long. The log is written apart and names members.

--- a/cmd/tealpath/main.go
+++ b/cmd/tealpath/main.go
@@ -9,8 +9,10 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 	"github.com/urfave/cli/v3"
 
 	"tealpath/config"
@@ -26,6 +28,12 @@
 	exitUsage  = 2
 )
 
+// The log is written apart, so many lines behind at most.
+const (
+	logLines = 1000
+	logPoll  = 10 * time.Millisecond
+)
+
 func main() {
 	if err := app().Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "tealpath:", err)
@@ -88,7 +96,12 @@
 	}
 	leave, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
+	// Whoever reads the log must not hold the router up.
+	out := diode.NewWriter(os.Stderr, logLines, logPoll, func(missed int) {
+		fmt.Fprintf(os.Stderr, "{\"message\":\"%d lines of the log were lost\"}\n", missed)
+	})
+	defer out.Close()
+	log := zerolog.New(out).With().Timestamp().Logger()
 	err = process.New(c, log).Run(ctx, leave.Done())
 	switch {
 	case errors.Is(err, process.ErrConfig):
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -18,9 +18,9 @@
 const (
 	path       = "/journal"
 	dialMost   = time.Second
-	silentMost = 3 * time.Second // a comment comes each second
+	silentMost = 2500 * time.Millisecond // a comment comes each second
 	againFirst = 50 * time.Millisecond
-	againMost  = time.Second
+	againMost  = 500 * time.Millisecond
 	brokenMost = 3 // times that an event is read again before it is passed over
 )
 
--- a/front/front.go
+++ b/front/front.go
@@ -5,6 +5,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -47,6 +48,7 @@
 	ready    atomic.Bool
 	reading  *semaphore.Weighted
 	queued   atomic.Int64
+	full     atomic.Bool // answers are failing for want of memory
 
 	mu      sync.Mutex
 	clients map[router.ClientID]*client
@@ -68,6 +70,7 @@
 	stop := context.AfterFunc(ctx, func() { f.listener.Close() })
 	defer stop()
 	defer f.group.Wait()
+	failing := false
 	for {
 		conn, err := f.listener.Accept()
 		if err != nil {
@@ -77,13 +80,20 @@
 			if errors.Is(err, net.ErrClosed) {
 				return err
 			}
-			f.log("accept: " + err.Error()) // out of descriptors, or the client has gone again
+			if !failing {
+				f.log("connections are not accepted: " + err.Error()) // out of descriptors, or the client has gone again
+			}
+			failing = true
 			select {
 			case <-time.After(acceptGap):
 			case <-ctx.Done():
 			}
 			continue
 		}
+		if failing {
+			failing = false
+			f.log("connections are accepted again")
+		}
 		if c := f.add(conn); c != nil {
 			f.group.Add(1)
 			go func() {
@@ -126,7 +136,11 @@
 		if f.queued.Load()+int64(len(out.Body)) > f.limits.Bytes {
 			// Large answers to clients that don't read would take all memory.
 			out = thrift.Answer{Method: "call", Seq: a.Seq, Field: 2}
-			f.log("answers waiting for slow clients fill the memory: one failed")
+			if !f.full.Swap(true) {
+				f.log(fmt.Sprintf("slow clients: %d bytes of answers wait, new ones fail", f.queued.Load()))
+			}
+		} else if len(out.Body) > 0 && f.queued.Load() < f.limits.Bytes/2 && f.full.Swap(false) {
+			f.log("slow clients: answers go out again")
 		}
 	case router.Dismissed:
 		out.Field = 1
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -74,7 +74,9 @@
 
 func TestEvents(t *testing.T) {
 	call := string(message(1, "call", 5, "\x00"))
-	cancel := func(seq byte) string { return string(message(4, "cancel", 9, "\x08\x00\x01\x00\x00\x00"+string(seq)+"\x00")) }
+	cancel := func(seq byte) string {
+		return string(message(4, "cancel", 9, "\x08\x00\x01\x00\x00\x00"+string(seq)+"\x00"))
+	}
 	for _, c := range []struct {
 		name, in string
 		want     string // up to the end of the connection, which the client brings about
--- a/process/process.go
+++ b/process/process.go
@@ -106,6 +106,14 @@
 
 func (p *Process) line(text string) { p.log.Info().Msg(text) }
 
+func (p *Process) note(l router.Log) {
+	event := p.log.Info()
+	if l.Instance != "" {
+		event = event.Str("instance", l.Instance)
+	}
+	event.Msg(l.Line)
+}
+
 // Run serves until leave ends and all that was taken is answered, or until ctx ends, which answers nothing.
 func (p *Process) Run(ctx context.Context, leave <-chan struct{}) error {
 	p.enter(Starting)
@@ -182,7 +190,7 @@
 		p.listed = p.listed || list
 		for _, effect := range p.router.Handle(now, e) {
 			if line, ok := effect.(router.Log); ok {
-				p.line(line.Line)
+				p.note(line)
 			}
 		}
 	}
@@ -245,7 +253,7 @@
 		case router.SetTimer:
 			timer.Reset(time.Until(time.Unix(0, effect.At)))
 		case router.Log:
-			p.line(effect.Line)
+			p.note(effect)
 		}
 	}
 }
--- a/router/events.go
+++ b/router/events.go
@@ -136,5 +136,5 @@
 // SetTimer wants Due at a time; it takes the place of the one before.
 type SetTimer struct{ At int64 }
 
-// Log wants a line logged.
-type Log struct{ Line string }
+// Log wants a line logged; Instance is the member that it is about, if there is one.
+type Log struct{ Line, Instance string }
--- a/router/links.go
+++ b/router/links.go
@@ -9,6 +9,9 @@
 	"tealpath/control"
 )
 
+// linksMost is how many links to one member are dialled for the quiet of the others.
+const linksMost = 4
+
 // member is one instance of the list.
 type member struct {
 	Listing
@@ -64,22 +67,28 @@
 }
 
 // pick gives the least used link to a member, or dials one. A link on which this retrieval was given up
-// before is left out: a late answer to that could be taken for one to this.
+// before is left out, and one on which its id is open: an answer to that could be taken for one to this.
 func (r *Router) pick(m *member, h *hand) *link {
-	var best *link
+	var best, quiet *link
 	for _, l := range m.links {
-		if l.doubted || int64(len(l.open)) >= r.streams || slices.ContainsFunc(h.dispatches, func(d *dispatch) bool {
-			return d.link == l && !d.clean
-		}) {
+		if l.doubted || int64(len(l.open)) >= r.streams || l.open[h.fields["txn"]] != nil ||
+			slices.ContainsFunc(h.dispatches, func(d *dispatch) bool { return d.link == l && !d.clean }) {
+			continue
+		}
+		if r.quiet(l) {
+			quiet = l
 			continue
 		}
 		if best == nil || l.up && !best.up || l.up == best.up && len(l.open) < len(best.open) {
 			best = l
 		}
 	}
-	if best != nil || len(r.links) >= r.limits.Links {
+	if best != nil {
 		return best
 	}
+	if quiet != nil && len(m.links) >= linksMost || len(r.links) >= r.limits.Links {
+		return quiet
+	}
 	r.linked++
 	l := &link{id: r.linked, member: m, address: m.Address, open: map[string]*dispatch{}, heard: r.now, used: r.now}
 	m.links = append(m.links, l)
@@ -88,6 +97,19 @@
 	return l
 }
 
+// quiet tells whether nothing has come on a link for a while though something is open on it: a slow answer
+// may be on its way, and whatever is asked behind it would wait for that.
+func (r *Router) quiet(l *link) bool {
+	if !l.up || len(l.open) == 0 {
+		return false
+	}
+	oldest := r.now
+	for _, d := range l.open {
+		oldest = min(oldest, d.sent)
+	}
+	return r.now-max(oldest, l.heard) > r.dialWithin
+}
+
 // up sends what has waited for a link.
 func (r *Router) up(e Up) {
 	l := r.links[e.Link]
@@ -199,6 +221,7 @@
 			m = &member{}
 			r.members[line.Instance] = m
 		}
+		r.overtake(line)
 		again := m.Instance != "" && (line.Started > m.Started || line.Address != m.Address)
 		m.Listing = line
 		if again {
@@ -230,6 +253,16 @@
 	}
 }
 
+// overtake takes those out whose address a later one has: what is sent to them would reach it instead, cold
+// as it may be, beside what is meant for it.
+func (r *Router) overtake(line Listing) {
+	for _, m := range r.members {
+		if m.Instance != line.Instance && m.Address == line.Address && m.Started <= line.Started && line.Phase == "ready" {
+			m.Phase = "gone"
+		}
+	}
+}
+
 // number gives every member the module's id for it. It comes from the instance's name alone, so that hashes
 // over ids agree at every router; of two names with the same one, the later in order takes the next free.
 func (r *Router) number() {
--- a/router/router.go
+++ b/router/router.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 
 	"tealpath/control"
 	"tealpath/due"
@@ -48,6 +49,7 @@
 	leaveBy int64 // when all must be answered; 0 while not leaving
 
 	dialWithin, idleAfter, answerGrace int64
+	longest                            int64 // that a client may wait
 	streams                            int64
 	mayCancel                          bool
 }
@@ -91,6 +93,9 @@
 		dialWithin: setting(set, "connect.within", int64(1e9)), idleAfter: setting(set, "connect.idle", int64(30e9)),
 		answerGrace: setting(set, "answer.grace", int64(0)), streams: setting(set, "connect.streams", int64(1)),
 		mayCancel: setting(set, "cancel", false)}
+	for _, stop := range setting(set, "product.hardStop", []int64(nil)) {
+		r.longest = max(r.longest, stop)
+	}
 	var err error
 	r.decide, err = control.New(now, seed, set, r.log)
 	return r, err
@@ -134,8 +139,19 @@
 	f()
 }
 
-func (r *Router) do(e Effect)     { r.effects = append(r.effects, e) }
-func (r *Router) log(line string) { r.do(Log{Line: line}) }
+func (r *Router) do(e Effect) { r.effects = append(r.effects, e) }
+
+// log notes a line; where it starts with a member's number, the member's name goes with it.
+func (r *Router) log(line string) {
+	out := Log{Line: line}
+	if rest, ok := strings.CutPrefix(line, "member "); ok {
+		number, _, _ := strings.Cut(rest, " ")
+		if id, err := strconv.ParseUint(number, 10, 32); err == nil && r.byID[uint32(id)] != nil {
+			out.Instance = r.byID[uint32(id)].Instance
+		}
+	}
+	r.do(out)
+}
 
 func (r *Router) event(e Event) {
 	switch e := e.(type) {
@@ -185,6 +201,8 @@
 		turnAway(Dismissed, "")
 		return
 	}
+	// A time longer than any product's would keep it in memory for so long.
+	h.HardStop = min(h.HardStop, r.at+r.longest)
 	if r.leaveBy > 0 {
 		h.HardStop = min(h.HardStop, r.leaveBy)
 	}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -224,6 +224,33 @@
 			p.answer(good)
 			p.pass(16 * second)
 		}, "dial, send 1, settled 1:bytes, close 1"},
+		{"a link that is quiet for longer than a dial may take gets company", func(p *play) {
+			p.ask(1, nil)
+			p.up()
+			p.pass(300 * millisecond)
+			p.ask(2, nil)
+			p.pass(150 * millisecond)
+			p.ask(3, nil)
+		}, "dial, send 1, send 2, dial"},
+		{"an id that is open already goes by another link: answers could be mixed up", func(p *play) {
+			p.ask(1, nil)
+			p.up()
+			p.ask(2, map[string]string{"txn": fmt.Sprintf("%016x", 1)})
+		}, "dial, send 1, dial"},
+		{"a time longer than the product's is cut to that", func(p *play) {
+			p.ask(1, map[string]string{"limit": "99999999"})
+			if at := p.clients[1][1].HardStop; at != p.now+25*second/10 {
+				p.t.Errorf("hard stop in %d", at-p.now)
+			}
+		}, "dial"},
+		{"whose address another one has got is gone", func(p *play) {
+			p.ask(1, nil)
+			p.up()
+			p.answer(good)
+			address := p.Router.links[p.links[0]].address
+			p.take(Listed{Lines: []Listing{{"s-new", address, control.Listing{Location: "here", Kind: "cache",
+				Phase: "ready", Units: 5, Started: p.now}}}})
+		}, "dial, send 1, settled 1:bytes, close 1"},
 		{"leaving cuts the time of all in hand and of all that come", func(p *play) {
 			p.ask(1, nil)
 			p.up()
