--- a/router/router.go
+++ b/router/router.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"strconv"
 	"strings"
 
@@ -96,6 +97,9 @@
 	for _, stop := range setting(set, "product.hardStop", []int64(nil)) {
 		r.longest = max(r.longest, stop)
 	}
+	// The journal service tells of changes by itself, and a sign of life tells nothing of how a member serves.
+	set = maps.Clone(set)
+	set["probe"], set["list.mode"] = false, "push"
 	var err error
 	r.decide, err = control.New(now, seed, set, r.log)
 	return r, err
@@ -397,7 +401,7 @@
 
 // tick does the periodic work.
 func (r *Router) tick() {
-	_, again := r.decide.Tick(r.now) // there is nothing to subscribe to, and members may not be probed
+	_, again := r.decide.Tick(r.now) // without probes and subscriptions there are no chores
 	r.ticking = r.now + again
 	r.closeIdle()
 }
