--- a/router/router.go
+++ b/router/router.go
@@ -19,6 +19,8 @@
 	// wayBack is how long before a client's own time is up its answer goes out at the latest: on a core that is
 	// shared, and over the network, some of that time is gone before the client has it.
 	wayBack = 20 * millisecond
+
+	sizeMost = 1e9 // KB that a size can be
 )
 
 // Limits bound what the reducer lets be opened.
@@ -240,6 +242,10 @@
 	}
 	h.Retrieval = control.Retrieval{Product: h.fields["verb"], Object: h.fields["item"], Part: part, Group: group,
 		HardStop: at + limit*millisecond - wayBack, Repeat: h.fields["second"] == "1"}
+	// Some deployments tell the size, in KB; without it nothing is wrong.
+	if kb, err := strconv.ParseFloat(h.fields["ram"], 64); err == nil && kb > 0 && kb < sizeMost {
+		h.SizeKB = kb
+	}
 	return ""
 }
 
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -243,6 +243,13 @@
 				p.t.Errorf("hard stop in %d", at-p.now)
 			}
 		}, "dial"},
+		{"a size that is told, and one that cannot be", func(p *play) {
+			p.ask(1, map[string]string{"ram": "194.179"})
+			p.ask(2, map[string]string{"ram": "NaN"})
+			if a, b := p.clients[1][1].SizeKB, p.clients[1][2].SizeKB; a != 194.179 || b != 0 {
+				p.t.Errorf("sizes %v and %v", a, b)
+			}
+		}, "dial"},
 		{"whose address another one has got is gone", func(p *play) {
 			p.ask(1, nil)
 			p.up()
