--- a/process/process.go
+++ b/process/process.go
@@ -51,7 +51,7 @@
 	clientShare  = 0.5 // of the descriptors; clients hold a third at most
 	linkShare    = 0.25
 	openMost     = 32  // requests on one client's connection
-	inboxMost    = 256 // events on their way to the reducer
+	inboxMost    = 64  // events on their way to the reducer
 	leastSockets = 64
 	leastMemory  = 64 // MB
 )
--- a/router/links.go
+++ b/router/links.go
@@ -175,6 +175,7 @@
 		return
 	}
 	delete(l.open, d.request.ID)
+	d.clean = !l.up // nothing was sent
 	if l.up && r.mayCancel {
 		r.do(GiveUp{Link: l.id, ID: d.request.ID})
 	}
