--- a/process/process.go
+++ b/process/process.go
@@ -50,8 +50,8 @@
 	bodyShare    = 0.1 // for the bodies of requests in hand
 	clientShare  = 0.5 // of the descriptors; clients hold a third at most
 	linkShare    = 0.25
-	openMost     = 32  // requests on one client's connection
-	inboxMost    = 64  // events on their way to the reducer
+	openMost     = 32 // requests on one client's connection
+	inboxMost    = 64 // events on their way to the reducer
 	leastSockets = 64
 	leastMemory  = 64 // MB
 )
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -195,7 +195,7 @@
 			if age := p.sends[0].Request.Dispatch.Age; age >= 50*millisecond {
 				p.t.Errorf("age %d", age)
 			}
-		}, "dial, send 1"},
+		}, "dial, dial, send 1"},
 		{"what waits for its link when its cache drains goes elsewhere", func(p *play) {
 			p.ask(1, nil)
 			p.list(func(l *Listing) { l.Phase = "draining" })
