--- a/front/front.go
+++ b/front/front.go
@@ -30,6 +30,9 @@
 // batchMost is about how many bytes are written at once.
 const batchMost = 1 << 18
 
+// queueMost is how many pieces of answers wait for one client, three an answer; it has 32 requests open.
+const queueMost = 3 * 1000
+
 // smallFrame is a frame that needs no share of the memory for large ones.
 const smallFrame = 4096
 
@@ -181,6 +184,7 @@
 	writing bool
 	open    map[int32]int // requests read and not yet answered
 	ending  bool          // nothing more is read: it ends once all is answered
+	gone    bool          // nothing more is queued
 }
 
 func (c *client) serve(ctx context.Context) {
@@ -208,6 +212,7 @@
 	delete(c.front.clients, c.id)
 	c.front.mu.Unlock()
 	c.mu.Lock()
+	c.gone = true
 	c.front.queued.Add(-c.bytes)
 	c.mu.Unlock()
 	c.front.post(router.Left{Client: c.id})
@@ -326,10 +331,16 @@
 		size += int64(len(p))
 	}
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.gone {
+		return
+	}
 	c.queue = append(c.queue, pieces...)
 	c.bytes += size
-	c.mu.Unlock()
 	c.front.queued.Add(size)
+	if len(c.queue) > queueMost {
+		c.conn.Close() // it asks without end and reads nothing
+	}
 	c.signal()
 }
 
--- a/process/process.go
+++ b/process/process.go
@@ -220,8 +220,9 @@
 		case <-timer.C:
 			p.handle(time.Now().UnixNano(), router.Due{}, timer)
 		}
-		if !leftAt.IsZero() && time.Since(leftAt) > stillComing && p.router.Hands() == 0 && len(p.inbox) == 0 &&
-			p.front.Flushed() {
+		left := time.Since(leftAt)
+		if !leftAt.IsZero() && left > stillComing && p.router.Hands() == 0 && len(p.inbox) == 0 &&
+			(p.front.Flushed() || left > p.longest()+drainSlack) {
 			return nil
 		}
 	}
--- a/router/links.go
+++ b/router/links.go
@@ -9,7 +9,7 @@
 	"tealpath/control"
 )
 
-// linksMost is how many links to one member are dialled for the quiet of the others.
+// linksMost is how many links one member has beside those that carry all they may.
 const linksMost = 4
 
 // member is one instance of the list.
@@ -27,6 +27,7 @@
 	doubted bool // it has been silent on what it was asked: nothing new is sent on it
 	closed  bool
 	open    map[string]*dispatch // by the id that is on the link
+	past    map[string]int64     // ids given up on it, with the time: an answer may come yet
 	heard   int64
 	used    int64
 }
@@ -50,7 +51,7 @@
 		}
 	}
 	if d.cache != nil {
-		d.link = r.pick(d.cache, h)
+		d.link = r.pick(d.cache, d.request.ID)
 	}
 	if d.link == nil {
 		d.link = &link{}
@@ -66,31 +67,32 @@
 	}
 }
 
-// pick gives the least used link to a member, or dials one. A link on which this retrieval was given up
-// before is left out, and one on which its id is open: an answer to that could be taken for one to this.
-func (r *Router) pick(m *member, h *hand) *link {
+// pick gives the least used link to a member, or dials one. A link on which this id was given up before is
+// left out: a late answer to that could be taken for one to this.
+func (r *Router) pick(m *member, id string) *link {
 	var best, quiet *link
+	full := 0
 	for _, l := range m.links {
-		if l.doubted || int64(len(l.open)) >= r.streams || l.open[h.fields["txn"]] != nil ||
-			slices.ContainsFunc(h.dispatches, func(d *dispatch) bool { return d.link == l && !d.clean }) {
-			continue
-		}
-		if r.quiet(l) {
+		_, past := l.past[id]
+		switch {
+		case int64(len(l.open)) >= r.streams:
+			full++
+		case l.doubted || past || l.open[id] != nil:
+		case r.quiet(l):
 			quiet = l
-			continue
-		}
-		if best == nil || l.up && !best.up || l.up == best.up && len(l.open) < len(best.open) {
+		case best == nil || l.up && !best.up || l.up == best.up && len(l.open) < len(best.open):
 			best = l
 		}
 	}
 	if best != nil {
 		return best
 	}
-	if quiet != nil && len(m.links) >= linksMost || len(r.links) >= r.limits.Links {
+	if len(m.links)-full >= linksMost || len(r.links) >= r.limits.Links {
 		return quiet
 	}
 	r.linked++
-	l := &link{id: r.linked, member: m, address: m.Address, open: map[string]*dispatch{}, heard: r.now, used: r.now}
+	l := &link{id: r.linked, member: m, address: m.Address, open: map[string]*dispatch{}, past: map[string]int64{},
+		heard: r.now, used: r.now}
 	m.links = append(m.links, l)
 	r.links[l.id] = l
 	r.do(Dial{Link: l.id, Address: l.address, Within: r.dialWithin})
@@ -159,12 +161,12 @@
 }
 
 // shut closes a link from this side.
-func (r *Router) shut(l *link, unsent []string) {
+func (r *Router) shut(l *link) {
 	if l.closed {
 		return
 	}
 	r.do(Close{Link: l.id})
-	r.lose(l, unsent)
+	r.lose(l, nil)
 }
 
 // giveUp takes a dispatch off its link. A link that has said nothing since is doubted: one to a machine that
@@ -175,11 +177,14 @@
 		return
 	}
 	delete(l.open, d.request.ID)
-	d.clean = !l.up // nothing was sent
-	if l.up && r.mayCancel {
+	if !l.up {
+		return // nothing was sent
+	}
+	l.past[d.request.ID] = r.now
+	if r.mayCancel {
 		r.do(GiveUp{Link: l.id, ID: d.request.ID})
 	}
-	if l.up && l.heard <= d.sent && r.now-d.sent >= r.dialWithin {
+	if l.heard <= d.sent && r.now-d.sent >= r.dialWithin {
 		l.doubted = true
 	}
 	r.tidy(l)
@@ -188,16 +193,18 @@
 // tidy closes a doubted link once nothing is open on it.
 func (r *Router) tidy(l *link) {
 	if l.doubted && len(l.open) == 0 && !l.closed {
-		r.shut(l, nil)
+		r.shut(l)
 	}
 }
 
-// closeIdle closes what has not been used for a while: before the other side does, which could cross with a
-// request.
-func (r *Router) closeIdle() {
+// sweep closes what has not been used for a while, before the other side does, which could cross with a
+// request; and forgets ids to which no answer will come any more.
+func (r *Router) sweep() {
 	for _, id := range sortedKeys(r.links) {
-		if l := r.links[id]; l.up && len(l.open) == 0 && r.now-l.used > r.idleAfter/2 {
-			r.shut(l, nil)
+		l := r.links[id]
+		maps.DeleteFunc(l.past, func(_ string, at int64) bool { return r.now-at > 2*r.longest })
+		if l.up && len(l.open) == 0 && r.now-l.used > r.idleAfter/2 {
+			r.shut(l)
 		}
 	}
 }
@@ -226,7 +233,10 @@
 		again := m.Instance != "" && (line.Started > m.Started || line.Address != m.Address)
 		m.Listing = line
 		if again {
-			old = append(old, m.links...)
+			for _, l := range m.links {
+				l.doubted = true
+				old = append(old, l)
+			}
 		}
 	}
 	r.number()
@@ -239,7 +249,7 @@
 		return d.cache.Phase != "ready" || d.source != nil && d.source.Phase != "ready"
 	})
 	for _, l := range old {
-		r.shut(l, nil)
+		r.shut(l)
 	}
 	for _, name := range sortedKeys(r.members) {
 		if m := r.members[name]; m.Phase == "gone" {
@@ -258,7 +268,8 @@
 // as it may be, beside what is meant for it.
 func (r *Router) overtake(line Listing) {
 	for _, m := range r.members {
-		if m.Instance != line.Instance && m.Address == line.Address && m.Started <= line.Started && line.Phase == "ready" {
+		if m.Instance != line.Instance && m.Address == line.Address && line.Address != "" &&
+			m.Started <= line.Started && line.Phase == "ready" {
 			m.Phase = "gone"
 		}
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -41,7 +41,8 @@
 
 	clients map[ClientID]map[int32]*hand
 	hands   int
-	bytes   int // of the bodies of retrievals in hand
+	ids     map[string]bool // of retrievals in hand
+	bytes   int             // of the bodies of retrievals in hand
 	members map[string]*member
 	byID    map[uint32]*member
 	links   map[LinkID]*link
@@ -78,7 +79,6 @@
 	request       Request
 	sent, until   int64
 	ended         bool
-	clean         bool // an answer to it came: no other can
 }
 
 // task is what a due time is for: with a dispatch its time-out, with a hand to ask the module again, or
@@ -91,7 +91,7 @@
 
 // New makes a reducer.
 func New(now int64, seed uint64, set control.Settings, limits Limits) (*Router, error) {
-	r := &Router{limits: limits, now: now, clients: map[ClientID]map[int32]*hand{},
+	r := &Router{limits: limits, now: now, clients: map[ClientID]map[int32]*hand{}, ids: map[string]bool{},
 		members: map[string]*member{}, byID: map[uint32]*member{}, links: map[LinkID]*link{},
 		dialWithin: setting(set, "connect.within", int64(1e9)), idleAfter: setting(set, "connect.idle", int64(30e9)),
 		answerGrace: setting(set, "answer.grace", int64(0)), streams: setting(set, "connect.streams", int64(1)),
@@ -198,7 +198,11 @@
 		return
 	}
 	h := &hand{client: e.Client, seq: e.Seq, fields: e.Fields, body: e.Body}
-	if why := h.read(r.at); why != "" {
+	why := h.read(r.at)
+	if r.ids[h.fields["txn"]] {
+		why = "field txn is in use" // answers to the one would be taken for the other's
+	}
+	if why != "" {
 		turnAway(Unusable, why)
 		return
 	}
@@ -216,6 +220,7 @@
 		r.clients[e.Client] = map[int32]*hand{}
 	}
 	r.clients[e.Client][e.Seq] = h
+	r.ids[h.fields["txn"]] = true
 	r.hands++
 	r.bytes += len(h.body)
 	r.due.Push(h.HardStop+r.answerGrace, task{hand: h, last: true})
@@ -224,13 +229,13 @@
 
 // read takes from a request's fields what decisions need, and says what is wrong with them.
 func (h *hand) read(at int64) string {
-	number := func(name string, least, most int64) (n int64, ok bool) {
-		n, err := strconv.ParseInt(h.fields[name], 10, 64)
-		return n, err == nil && n >= least && n <= most
+	number := func(name string, most uint64) (int64, bool) {
+		n, err := strconv.ParseUint(h.fields[name], 10, 32) // digits alone: it goes on as it came
+		return int64(n), err == nil && n <= most
 	}
-	limit, ok1 := number("limit", 0, 1<<31)
-	part, ok2 := number("nth", 0, 1<<31)
-	group, ok3 := number("batch", 0, 255)
+	limit, ok1 := number("limit", 1<<31)
+	part, ok2 := number("nth", 1<<31)
+	group, ok3 := number("batch", 255)
 	for _, f := range []struct {
 		name string
 		good bool
@@ -306,6 +311,7 @@
 	r.bytes -= len(h.body)
 	h.body = nil
 	r.hands--
+	delete(r.ids, h.fields["txn"])
 	if delete(r.clients[h.client], h.seq); len(r.clients[h.client]) == 0 {
 		delete(r.clients, h.client)
 	}
@@ -359,12 +365,12 @@
 		return
 	}
 	l.heard = r.now
+	delete(l.past, e.ID)
 	d := l.open[e.ID]
 	if d == nil {
 		return // it was given up, or never asked
 	}
 	delete(l.open, e.ID)
-	d.clean = true
 	if e.Same && d.request.Mine == "" {
 		e.Result = control.Faulty // no copy was named that could be good still
 	}
@@ -409,7 +415,7 @@
 func (r *Router) tick() {
 	_, again := r.decide.Tick(r.now) // without probes and subscriptions there are no chores
 	r.ticking = r.now + again
-	r.closeIdle()
+	r.sweep()
 }
 
 // leaving cuts the time of all retrievals to what is left.
