--- a/cmd/tealpath/main_test.go
+++ b/cmd/tealpath/main_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -220,6 +221,7 @@
 	t.Setenv("LB_CONFIG", file)
 	t.Setenv("LB_LISTEN", address)
 	over := make(chan error, 1)
+	before := runtime.NumGoroutine()
 	go func() { over <- app().Run(context.Background(), []string{"tealpath", "serve"}) }()
 	for end := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
 		if conn, err := net.Dial("tcp", address); err == nil {
@@ -328,6 +330,12 @@
 		case <-time.After(patience):
 			t.Fatal("it does not end")
 		}
+		// The stand-ins' goroutines end with the connections; that of the signals stays.
+		for end := time.Now().Add(patience); runtime.NumGoroutine() > before+2; time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%d goroutines, %d before", runtime.NumGoroutine(), before)
+			}
+		}
 	})
 }
 
--- a/process/process.go
+++ b/process/process.go
@@ -9,7 +9,6 @@
 	"net"
 	"runtime"
 	"runtime/debug"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -23,7 +22,7 @@
 )
 
 // Phase is where a process stands between its start and its exit.
-type Phase int32
+type Phase int
 
 // The phases, in order.
 const (
@@ -60,14 +59,12 @@
 type Process struct {
 	config *config.Config
 	log    zerolog.Logger
-	phase  atomic.Int32
+	phase  Phase
 	inbox  chan arrival
 	front  *front.Front
 	pool   *upstream.Pool
 	router *router.Router
 	listed bool // the list of members has come
-	bound  chan struct{}
-	addr   net.Addr
 }
 
 // ErrConfig is a configuration that cannot be served by.
@@ -80,19 +77,9 @@
 
 // New makes a process that has not started.
 func New(c *config.Config, log zerolog.Logger) *Process {
-	return &Process{config: c, log: log.With().Str("router", c.Name).Logger(), inbox: make(chan arrival, inboxMost),
-		bound: make(chan struct{})}
+	return &Process{config: c, log: log.With().Str("router", c.Name).Logger(), inbox: make(chan arrival, inboxMost)}
 }
 
-// Phase tells where the process stands.
-func (p *Process) Phase() Phase { return Phase(p.phase.Load()) }
-
-// Bound is closed once clients can connect, at Addr.
-func (p *Process) Bound() <-chan struct{} { return p.bound }
-
-// Addr is the address on which clients are served.
-func (p *Process) Addr() net.Addr { return p.addr }
-
 // Check tells what would keep a process with this configuration from serving, but for its addresses.
 func Check(c *config.Config) error {
 	_, err := New(c, zerolog.Nop()).prepare()
@@ -100,7 +87,7 @@
 }
 
 func (p *Process) enter(next Phase) {
-	p.phase.Store(int32(next))
+	p.phase = next
 	p.line("phase: " + next.String())
 }
 
@@ -126,7 +113,6 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	p.addr = listener.Addr()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	group, ctx := errgroup.WithContext(ctx)
@@ -142,7 +128,6 @@
 		Bytes: int64(p.bytes(answerShare))}, post, p.line)
 	p.enter(Serving)
 	p.front.SetReady(p.listed)
-	close(p.bound)
 	group.Go(func() error {
 		defer stop()
 		return p.reduce(ctx, leave)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -235,11 +235,3 @@
 	}
 	return strconv.FormatFloat(float64(micros)/1e6, 'f', -1, 64)
 }
-
-// Switch writes a bool.
-func Switch(on bool) string {
-	if on {
-		return "1"
-	}
-	return "0"
-}
