Results on sockets; tests that hold on a busy machine

Run forty times under the race detector beside eight busy loops, one test of a link and one of the whole program leant on timing: the link could end before the request was written. Both now wait for what they test.

--- a/cmd/tealpath/main_test.go
+++ b/cmd/tealpath/main_test.go
@@ -274,10 +274,10 @@
 	})
 	t.Run("what is silent is given up in the client's time, and holds nothing else up", func(t *testing.T) {
 		begun := time.Now()
-		silent := c.call("dead000000000002", 400)
+		silent := c.call("dead000000000002", 1000)
 		c.want(c.call(object(4), 1200), settled)
 		c.want(silent, dismissed)
-		if took := time.Since(begun); took < 300*time.Millisecond || took > 450*time.Millisecond {
+		if took := time.Since(begun); took < 900*time.Millisecond || took > 1200*time.Millisecond {
 			t.Errorf("given up after %v", took)
 		}
 	})
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -88,6 +88,7 @@
 
 // Links against a stand-in of a cache that does one thing with its first connection.
 func TestLink(t *testing.T) {
+	written, closing := make(chan struct{}), make(chan struct{})
 	request := router.Request{ID: "00000000000000aa", Product: "stills", Object: "7f3a9c21e0b4d655", Part: "0"}
 	for _, c := range []struct {
 		name  string
@@ -100,20 +101,31 @@
 			resp.Read(bufio.NewReader(c))
 			fmt.Fprintf(c, "*4\r\n$16\r\n00000000000000aa\r\n$8\r\nnot_here\r\n$1\r\n-\r\n$0\r\n\r\n")
 		}, nil, "up, answered 2, down []"},
-		{"malformed", func(c net.Conn) { fmt.Fprint(c, "-ERR\r\n"); time.Sleep(time.Second) }, nil, "up, down []"},
+		{"malformed", func(c net.Conn) {
+			resp.Read(bufio.NewReader(c))
+			fmt.Fprint(c, "-ERR\r\n")
+			time.Sleep(time.Second)
+		}, nil, "up, down []"},
 		{"half an answer is none", func(c net.Conn) {
 			resp.Read(bufio.NewReader(c))
 			fmt.Fprintf(c, "*4\r\n$16\r\n00000000000000aa\r\n$6\r\nserved\r\n$1\r\n-\r\n$9\r\nhal")
 		}, nil, "up, down []"},
-		{"closed from this side", func(c net.Conn) { time.Sleep(time.Second) },
-			func(p *Pool) { p.Close(router.Close{Link: 1}) }, "up, down []"},
+		{"closed from this side", func(c net.Conn) {
+			resp.Read(bufio.NewReader(c))
+			close(closing)
+			time.Sleep(time.Second)
+		}, func(p *Pool) {
+			<-closing
+			p.Close(router.Close{Link: 1})
+		}, "up, down []"},
 		{"given up after it was written", func(c net.Conn) {
 			in := bufio.NewReader(c)
 			first, _ := resp.Read(in)
+			close(written)
 			second, _ := resp.Read(in)
 			fmt.Fprintf(c, "*4\r\n$1\r\n%.1s\r\n$%d\r\n%s\r\n$1\r\n-\r\n$0\r\n\r\n", first[0], len(second[0]), second[0])
 		}, func(p *Pool) {
-			time.Sleep(50 * time.Millisecond)
+			<-written
 			p.GiveUp(router.GiveUp{Link: 1, ID: request.ID})
 		}, "up, answered 5, down []"},
 	} {
@@ -154,7 +166,7 @@
 				}
 			}
 			p.Wait()
-			if got := strings.Join(got, ", "); got != c.want && !(c.do != nil && got == strings.Replace(c.want, "[]", "["+request.ID+"]", 1)) {
+			if got := strings.Join(got, ", "); got != c.want {
 				t.Errorf("%s, want %s", got, c.want)
 			}
 		})
