--- a/cmd/tealpath/main.go
+++ b/cmd/tealpath/main.go
@@ -31,7 +31,7 @@
 // The log is written apart, so many lines behind at most.
 const (
 	logLines = 1000
-	logPoll  = 10 * time.Millisecond
+	logPoll  = 100 * time.Millisecond
 )
 
 func main() {
