Standard error stays open: the reason why a router does not start is said

Seen when a second router was started by hand on an address in use: it ended with code 1 and no word. Closing the log's writer closed standard error before main had written to it (cmd/tealpath/main.go, serve). The start's faults now check for it.

--- a/cmd/tealpath/main.go
+++ b/cmd/tealpath/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -97,7 +98,9 @@
 	leave, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	// Whoever reads the log must not hold the router up.
-	out := diode.NewWriter(os.Stderr, logLines, logPoll, func(missed int) {
+	// Standard error is wrapped, as the writer would close it at its end: what keeps the router from starting
+	// went unsaid so.
+	out := diode.NewWriter(struct{ io.Writer }{os.Stderr}, logLines, logPoll, func(missed int) {
 		fmt.Fprintf(os.Stderr, "{\"message\":\"%d lines of the log were lost\"}\n", missed)
 	})
 	defer out.Close()
--- a/cmd/tealpath/main_test.go
+++ b/cmd/tealpath/main_test.go
@@ -376,6 +376,9 @@
 					code = coded.ExitCode()
 				}
 			}
+			if _, broken := os.Stderr.WriteString(""); broken != nil {
+				t.Errorf("standard error is closed: %v", broken)
+			}
 			if code != c.code || err != nil && !strings.Contains(err.Error(), c.says) {
 				t.Errorf("code %d, %v", code, err)
 			}
