A fault of the periodic work does not keep the core busy

Found by reading: the next time of the work was set only after the module had returned (router.tick), so a fault in it would have come again at once, without end.

--- a/router/router.go
+++ b/router/router.go
@@ -21,6 +21,9 @@
 	wayBack = 20 * millisecond
 
 	sizeMost = 1e9 // KB that a size can be
+
+	// tickAfterFault is when the periodic work is done again if it fails; at once it would keep the core busy.
+	tickAfterFault = 1000 * millisecond
 )
 
 // Limits bound what the reducer lets be opened.
@@ -413,6 +416,7 @@
 
 // tick does the periodic work.
 func (r *Router) tick() {
+	r.ticking = r.now + tickAfterFault
 	_, again := r.decide.Tick(r.now) // without probes and subscriptions there are no chores
 	r.ticking = r.now + again
 	r.sweep()
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -446,6 +446,15 @@
 	}
 }
 
+func TestFaultOfThePeriodicWork(t *testing.T) {
+	p := newPlay(t, nil)
+	p.decide = nil
+	p.pass(second)
+	if p.armed < p.now+100*millisecond {
+		t.Errorf("the timer is set for %d ms from now", (p.armed-p.now)/millisecond)
+	}
+}
+
 func TestFaultOfOneEvent(t *testing.T) {
 	p := newPlay(t, nil)
 	p.ask(1, nil)
