--- a/control/control.go
+++ b/control/control.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"hash/crc32"
 	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 )
@@ -294,43 +295,36 @@
 // repeatable tells whether a further dispatch is allowed, by number and payoff, and does no harm: rule 2.
 func (r *Router) repeatable(now int64, t *Retrieval) bool {
 	allowed := min(int(get(r.set, "dispatches.most", int64(3))), 2+int(2*t.product.payoff/r.most(payoff)))
-	if len(t.dispatches) >= allowed || now >= t.HardStop {
-		return false
-	}
-	for _, d := range t.dispatches {
-		if p := t.product; p.effect != "harmless" && (!d.ended || d.result > Unsent) &&
-			(p.effect != "stamped" || now >= d.sent+p.window) {
-			return false
-		}
-	}
-	return true
+	return len(t.dispatches) < allowed && now < t.HardStop && (t.product.effect == "harmless" ||
+		!slices.ContainsFunc(t.dispatches, func(d *dispatch) bool {
+			return d.mayHaveRun() && (t.product.effect != "stamped" || now >= d.sent+t.product.window)
+		}))
 }
 
+// mayHaveRun tells whether nothing proves that a dispatch did not run.
+func (d *dispatch) mayHaveRun() bool { return !d.ended || d.result > Unsent }
+
 // sameGroup tells whether a stamped retrieval that may have run can be repeated at m.
 func sameGroup(t *Retrieval, m *member) bool {
-	for _, d := range t.dispatches {
-		if t.product.effect == "stamped" && (!d.ended || d.result > Unsent) && (t.product.scope == "zone" &&
-			d.cache.Location != m.Location || t.product.scope == "cell" && d.cache.Cell != m.Cell) {
-			return false
-		}
-	}
-	return true
+	scope := t.product.scope
+	return t.product.effect != "stamped" || !slices.ContainsFunc(t.dispatches, func(d *dispatch) bool {
+		return d.mayHaveRun() && (scope == "zone" && d.cache.Location != m.Location ||
+			scope == "cell" && d.cache.Cell != m.Cell)
+	})
 }
 
 // giveUp ends a retrieval at once: dismissed where the client may safely try again, else aborted.
 func (r *Router) giveUp(now int64, t *Retrieval) Decision {
 	t.done, t.entry.gaveUp = true, now
-	for _, d := range t.dispatches {
-		if p := t.product; (!d.ended || d.result > Unsent) && p.effect != "harmless" &&
-			(p.effect != "stamped" || p.scope != "all") {
-			return Decision{Verdict: Abort}
-		}
-	}
-	if !get(r.set, "advice", false) {
+	p := t.product
+	switch anywhere := p.effect == "harmless" || p.effect == "stamped" && p.scope == "all"; {
+	case !anywhere && slices.ContainsFunc(t.dispatches, (*dispatch).mayHaveRun):
+		return Decision{Verdict: Abort}
+	case !get(r.set, "advice", false):
 		return Decision{Verdict: Dismiss}
 	}
 	// Soon enough to be in time, and spread, so that those turned away together don't come back together.
-	wait := int64(adviceShare * (1 + r.chance()) * float64(t.product.due))
+	wait := int64(adviceShare * (1 + r.chance()) * float64(p.due))
 	return Decision{Verdict: Dismiss, Advice: min(wait, get(r.set, "advice.most", int64(0)))}
 }
 
@@ -562,23 +556,19 @@
 		return at(r.set, "kinds", int(get(r.set, name, int64(-1))), "none")
 	}
 	r.caches, r.parents, r.origin = nil, nil, nil
-	for _, m := range r.members {
+	for _, id := range slices.Sorted(maps.Keys(r.members)) {
+		m := r.members[id]
 		// Rule 3: whoever drains or is gone gets nothing new from now on, and is no source.
 		switch {
 		case !m.listed || m.Phase != "ready":
 		case m.Kind == kind("kind.origin"):
-			if r.origin == nil || m.ID < r.origin.ID {
-				r.origin = m
-			}
+			r.origin = cmp.Or(r.origin, m)
 		case m.Kind == kind("kind.parent"):
 			r.parents = append(r.parents, m)
 		case m.Location == r.home:
 			r.caches = append(r.caches, m)
 		}
 	}
-	byID := func(a, b *member) int { return cmp.Compare(a.ID, b.ID) }
-	slices.SortFunc(r.caches, byID)
-	slices.SortFunc(r.parents, byID)
 }
 
 // ListFailed tells that asking for the list failed or the subscription broke; the next tick asks again.
