--- a/cmd/tealpath/main_test.go
+++ b/cmd/tealpath/main_test.go
@@ -362,13 +362,20 @@
 			[]string{"serve"}, exitUsage, "product.names"},
 		{"a list of another form", fmt.Sprintf(whole, `{"entries":[3]}`, "127.0.0.1:0"), []string{"check"}, exitUsage, "entry 1"},
 		{"the address is in use", fmt.Sprintf(whole, "null", listener.Addr()), []string{"serve"}, exitFailed, "address already in use"},
+		{"the address is let go of in time", fmt.Sprintf(whole, "null", listener.Addr()), []string{"serve"}, 0, "soon"},
 		{"a usable one", fmt.Sprintf(whole, "null", "127.0.0.1:0"), []string{"check"}, 0, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			file := filepath.Join(t.TempDir(), "config.json")
 			os.WriteFile(file, []byte(c.config), 0o600)
 			t.Setenv("LB_CONFIG", file)
-			err := app().Run(context.Background(), append([]string{"tealpath"}, c.args...))
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if c.says == "soon" {
+				time.AfterFunc(200*time.Millisecond, func() { listener.Close() })
+				time.AfterFunc(400*time.Millisecond, cancel)
+			}
+			err := app().Run(ctx, append([]string{"tealpath"}, c.args...))
 			code := 0
 			if err != nil {
 				code = exitUsage
--- a/front/front.go
+++ b/front/front.go
@@ -197,11 +197,9 @@
 		c.write(ctx)
 	}()
 	err := c.read(ctx)
-	// What cannot be understood ends only the reading: what was understood before it is still answered.
-	understood := !errors.Is(err, thrift.ErrFrame) && !errors.Is(err, thrift.ErrVersion)
 	c.mu.Lock()
 	c.ending = true
-	if understood {
+	if !endsReading(err) {
 		clear(c.open) // the client has gone
 		c.conn.Close()
 	}
@@ -218,6 +216,18 @@
 	c.front.post(router.Left{Client: c.id})
 }
 
+// endsReading tells whether an error leaves the way to the client open, so that what was understood before it
+// is still answered: the client has closed its side only, or sent what cannot be understood. One that closed
+// both sides shows by the first answer to it.
+func endsReading(err error) bool {
+	for _, e := range []error{thrift.ErrFrame, thrift.ErrVersion, io.EOF, io.ErrUnexpectedEOF, os.ErrDeadlineExceeded} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
 // read reads requests until the connection ends or cannot be understood any more.
 func (c *client) read(ctx context.Context) error {
 	in := bufio.NewReaderSize(c.conn, smallFrame)
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -94,6 +94,7 @@
 			conn := dial(t, f)
 			io.WriteString(conn, c.in)
 			time.Sleep(30 * time.Millisecond)
+			conn.(*net.TCPConn).SetLinger(0)
 			conn.Close()
 			got := ""
 			for e := ""; e != "Left"; got += " " + e {
@@ -106,6 +107,27 @@
 	}
 }
 
+// A client that has closed its own side only, in whatever state, still gets what it asked for.
+func TestHalfClose(t *testing.T) {
+	call := message(1, "call", 5, "\x00")
+	for _, c := range []struct{ name, more string }{{"at the end of a request", ""}, {"inside the next", string(call[:9])},
+		{"behind what cannot be understood", "\xff\xff\xff\xff"}} {
+		t.Run(c.name, func(t *testing.T) {
+			f, events := serving(t, Limits{Connections: 4, Bytes: 1 << 20})
+			conn := dial(t, f)
+			io.WriteString(conn, string(call)+c.more)
+			conn.(*net.TCPConn).CloseWrite()
+			next(t, events)
+			time.Sleep(30 * time.Millisecond)
+			f.Answer(router.Answer{Client: 1, Seq: 5, Body: []byte("whole")})
+			got, err := io.ReadAll(conn)
+			if err != nil || !strings.Contains(string(got), "whole") || next(t, events) != "Left" {
+				t.Errorf("%q, %v", got, err)
+			}
+		})
+	}
+}
+
 // Large answers to clients that do not read: memory stays bounded, what does not fit fails openly, others go on.
 func TestSlowReader(t *testing.T) {
 	const size, limit, calls = 200 << 10, 8 << 20, 200
--- a/process/process.go
+++ b/process/process.go
@@ -9,6 +9,7 @@
 	"net"
 	"runtime"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -42,6 +43,9 @@
 	drainSlack  = 500 * time.Millisecond
 )
 
+// addressWait is how long an address in use is waited for.
+const addressWait = time.Second
+
 // Shares of the limits.
 const (
 	memoryShare  = 0.7 // from which the collector works harder
@@ -109,7 +113,7 @@
 	if err != nil {
 		return err
 	}
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", p.config.Listen)
+	listener, err := p.listen(ctx)
 	if err != nil {
 		return err
 	}
@@ -141,6 +145,16 @@
 	return err
 }
 
+// listen opens the listener. At a restart the router before may not have let go of the address yet.
+func (p *Process) listen(ctx context.Context) (net.Listener, error) {
+	for end := time.Now().Add(addressWait); ; time.Sleep(addressWait / 20) {
+		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", p.config.Listen)
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+			return listener, err
+		}
+	}
+}
+
 func (p *Process) sockets() int64 { return max(p.config.Sockets, leastSockets) }
 
 // bytes is a share of the memory.
