An answer is queued before its request counts as answered

Front.Answer took the request off those open before it queued the answer; a connection whose reading had ended could see nothing open and nothing queued in between, and closed without the answer. The same could hit a client with a bad frame behind good ones. A hundred runs under the race detector, and sixty beside eight busy loops, pass now.

--- a/front/front.go
+++ b/front/front.go
@@ -155,8 +155,9 @@
 	case router.Unusable:
 		out.Fault, out.Text = thrift.ProtocolError, a.Why
 	}
-	c.close(a.Seq)
+	// In this order: a connection that ends once all is answered ended between the two, without the answer.
 	c.send(out)
+	c.close(a.Seq)
 }
 
 // Flushed tells whether every answer has been written.
