Closing with input unread does not reset a client that reads its last answer

Found by reading: what a client sends behind a bad frame stayed unread, and closing then resets the connection. The case in TestHalfClose with 200 KB behind the bad frame got a reset before, with the answer; now the end.

--- a/front/front.go
+++ b/front/front.go
@@ -25,6 +25,8 @@
 	idleMost  = 30 * time.Second // with no request open
 	frameMost = 10 * time.Second // for a request to come whole, and for a client to take some of an answer
 	acceptGap = 10 * time.Millisecond
+
+	lingerMost = time.Second
 )
 
 // batchMost is about how many bytes are written at once.
@@ -207,6 +209,7 @@
 	c.mu.Unlock()
 	c.signal()
 	<-written
+	c.linger()
 	c.front.mu.Lock()
 	delete(c.front.clients, c.id)
 	c.front.mu.Unlock()
@@ -217,6 +220,15 @@
 	c.front.post(router.Left{Client: c.id})
 }
 
+// linger lets the client read its last answers: closing with input unread would reset the connection, and
+// what the client had not read by then was lost to it.
+func (c *client) linger() {
+	if tcp, ok := c.conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+		tcp.SetReadDeadline(time.Now().Add(lingerMost))
+		io.Copy(io.Discard, tcp)
+	}
+}
+
 // endsReading tells whether an error leaves the way to the client open, so that what was understood before it
 // is still answered: the client has closed its side only, or sent what cannot be understood. One that closed
 // both sides shows by the first answer to it.
@@ -369,7 +381,6 @@
 
 // write writes what is queued until the connection ends.
 func (c *client) write(ctx context.Context) {
-	defer c.conn.Close()
 	for {
 		c.mu.Lock()
 		batch, size := c.take()
@@ -394,6 +405,7 @@
 		c.mu.Unlock()
 		c.front.queued.Add(-size)
 		if err != nil {
+			c.conn.Close()
 			return
 		}
 	}
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -111,7 +111,7 @@
 func TestHalfClose(t *testing.T) {
 	call := message(1, "call", 5, "\x00")
 	for _, c := range []struct{ name, more string }{{"at the end of a request", ""}, {"inside the next", string(call[:9])},
-		{"behind what cannot be understood", "\xff\xff\xff\xff"}} {
+		{"behind what cannot be understood", strings.Repeat("\xff", 200<<10)}} {
 		t.Run(c.name, func(t *testing.T) {
 			f, events := serving(t, Limits{Connections: 4, Bytes: 1 << 20})
 			conn := dial(t, f)
