--- a/router/events.go
+++ b/router/events.go
@@ -10,7 +10,7 @@
 )
 
 // Event is something that came in from outside. All times are Unix nanoseconds.
-type Event interface{}
+type Event any
 
 // Requested is a client's request that has come whole.
 type Requested struct {
@@ -77,7 +77,7 @@
 type Leaving struct{ By int64 }
 
 // Effect is what the reducer wants done outside.
-type Effect interface{}
+type Effect any
 
 // Kind says what an answer to a client is.
 type Kind int
