--- a/cmd/tealpath/main.go
+++ b/cmd/tealpath/main.go
@@ -91,6 +91,10 @@
 	if err := atMost(cmd, 0); err != nil {
 		return err
 	}
+	// Asked for from the first moment: a SIGHUP that nobody waits for ends the process.
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
+	defer signal.Stop(again)
 	c, err := config.Load(os.Getenv)
 	if err != nil {
 		return cli.Exit(err, exitUsage)
@@ -105,7 +109,7 @@
 	})
 	defer out.Close()
 	log := zerolog.New(out).With().Timestamp().Logger()
-	err = process.New(c, log).Run(ctx, leave.Done())
+	err = process.New(c, log).Run(ctx, leave.Done(), again, func() (*config.Config, error) { return c.Again(os.Getenv) })
 	switch {
 	case errors.Is(err, process.ErrConfig):
 		return cli.Exit(err, exitUsage)
--- a/cmd/tealpath/main_test.go
+++ b/cmd/tealpath/main_test.go
@@ -95,6 +95,44 @@
 	}
 }
 
+// newJournal is a stand-in of the journal service; what is sent to the channel it tells the router that has come.
+func newJournal(t *testing.T) (string, chan string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	events := make(chan string)
+	asking := make(chan net.Conn)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			asking <- conn
+		}
+	}()
+	go func() {
+		conn := <-asking
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n\r\n")
+		for beat := time.Tick(time.Second / 2); ; {
+			select {
+			case conn = <-asking: // the one before is left open and told nothing more
+			case e := <-events:
+				fmt.Fprint(conn, e)
+				continue
+			case <-beat:
+				fmt.Fprint(conn, ":\n\n")
+				continue
+			}
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n\r\n")
+		}
+	}()
+	return listener.Addr().String(), events
+}
+
 // client is a client's connection.
 type client struct {
 	t    *testing.T
@@ -175,27 +213,8 @@
 // TestServe is the whole program over loopback, with stand-ins of caches and the journal service.
 func TestServe(t *testing.T) {
 	caches := []*stand{newStand(t, "s-a"), newStand(t, "s-b")}
-	journal, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer journal.Close()
-	events := make(chan string)
-	go func() {
-		conn, err := journal.Accept()
-		if err != nil {
-			return
-		}
-		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n\r\n")
-		for beat := time.Tick(time.Second / 2); ; {
-			select {
-			case e := <-events:
-				fmt.Fprint(conn, e)
-			case <-beat:
-				fmt.Fprint(conn, ":\n\n")
-			}
-		}
-	}()
+	journal, events := newJournal(t)
+	second, moved := newJournal(t)
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -211,13 +230,16 @@
 			m[0], m[1], zone, kind)
 	}
 	file := filepath.Join(t.TempDir(), "config.json")
-	os.WriteFile(file, fmt.Appendf(nil, `{"name":"n0","seed":"07","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+	configure := func(name, journal string) {
+		os.WriteFile(file, fmt.Appendf(nil, `{"name":"%s","listen":"%s","seed":"07","limits":{"cores":1,"memory_mb":192,"sockets":1024},
 		"journal":"%s","known":{"pos":1,"entries":[{"pos":1,"hosts":{"instances":[%s]}}]},"settings":{"balancers":1,
 		"locality":"here","failureDomains":["hub","here"],"machineTypes":["cache","parent","origin"],"familyInfo":{
 		"upperKind":1,"rootKind":2,"zoneBalancers":[0,1],"purgeTakesS":6},"limits":{"attemptsCap":6,"cancel":true,
 		"secondCopies":true,"retryAfter":true,"maxRetryAfterS":0.5,"dialTimeoutS":0.4,"connIdleS":30,
 		"streamsPerConn":100,"maxOpen":1000},"obligations":{"graceToAnswerS":0.008},"profiles":[{"name":"stills",
-		"onTimeS":0.4,"deadlineS":1.2,"points":1,"effect":"retryable","keyScope":"all"}]}}`, journal.Addr(), lines[1:]), 0o600)
+		"onTimeS":0.4,"deadlineS":1.2,"points":1,"effect":"retryable","keyScope":"all"}]}}`, name, address, journal, lines[1:]), 0o600)
+	}
+	configure("n0", journal)
 	t.Setenv("LB_CONFIG", file)
 	t.Setenv("LB_LISTEN", address)
 	over := make(chan error, 1)
@@ -296,16 +318,41 @@
 		}
 		c.want(c.call(object(5), 1200), settled)
 	})
-	t.Run("a purge", func(t *testing.T) {
+	purge := func(pos int, service chan string) {
+		t.Helper()
 		at := time.Now()
-		events <- fmt.Sprintf("id: 2\ndata: {\"pos\":2,\"expire\":{\"name\":\"%s\",\"stamp\":%d}}\n\n", object(6), at.UnixMilli())
+		gone := object(1000 + pos)
+		select {
+		case service <- fmt.Sprintf("id: %d\ndata: {\"pos\":%d,\"expire\":{\"name\":\"%s\",\"stamp\":%d}}\n\n", pos, pos, gone, at.UnixMilli()):
+		case <-time.After(patience):
+			t.Fatal("nobody reads the journal")
+		}
 		time.Sleep(100 * time.Millisecond)
-		c.want(c.call(object(6), 1200), settled)
+		c.want(c.call(gone, 1200), settled)
 		var age int64
-		_, rest, _ := strings.Cut(waitFor("path="+object(6)), ",within=")
+		_, rest, _ := strings.Cut(waitFor("path="+gone), ",within=")
 		if fmt.Sscan(strings.Split(rest, ",")[0], &age); age < 1 || age > time.Since(at).Milliseconds() {
 			t.Errorf("accepted age %d ms, %v after the purge", age, time.Since(at))
 		}
+	}
+	t.Run("a purge", func(t *testing.T) { purge(2, events) })
+	t.Run("SIGHUP", func(t *testing.T) {
+		hangUp := func() {
+			syscall.Kill(os.Getpid(), syscall.SIGHUP)
+			time.Sleep(50 * time.Millisecond)
+		}
+		held := c.call("dead000000000005", 1000)
+		for _, bad := range []func(){func() { os.WriteFile(file, []byte(`{"name":"n0","jour`), 0o600) },
+			func() { configure("n9", second) }, func() { configure("n0", "nowhere") }, func() { os.Remove(file) }} {
+			bad()
+			hangUp()
+		}
+		purge(3, events) // the one before is followed still
+		configure("n0", second)
+		hangUp()
+		hangUp()
+		purge(4, moved)
+		c.want(held, dismissed)
 	})
 	t.Run("a lost cache", func(t *testing.T) {
 		caches[0].die()
--- a/config/config.go
+++ b/config/config.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
+	"strings"
 
 	"tealpath/control"
 )
@@ -43,6 +45,39 @@
 	return c, nil
 }
 
+// Again loads the configuration anew for the router that runs with c. One for another router is an error.
+func (c *Config) Again(env func(string) string) (*Config, error) {
+	next, err := Load(func(name string) string {
+		if name == "LB_CONFIG" {
+			return env(name)
+		}
+		return "" // the file's own words tell whose it is
+	})
+	if err != nil {
+		return nil, err
+	}
+	if next.Name != c.Name {
+		return nil, fmt.Errorf("configuration %s: name: it is for router %q", env("LB_CONFIG"), next.Name)
+	}
+	return next, nil
+}
+
+// Differs names what of a newer configuration is in force only after a restart.
+func (c *Config) Differs(next *Config) string {
+	var names []string
+	for _, f := range []struct {
+		name string
+		same bool
+	}{{"listen", c.Listen == next.Listen},
+		{"limits", c.Cores == next.Cores && c.MemoryMB == next.MemoryMB && c.Sockets == next.Sockets},
+		{"settings", reflect.DeepEqual(c.Settings, next.Settings)}} {
+		if !f.same {
+			names = append(names, f.name)
+		}
+	}
+	return strings.Join(names, ", ")
+}
+
 // Parse decodes a configuration file; a name and an address that are not empty win over the file's.
 func Parse(raw []byte, name, listen string) (*Config, error) {
 	var file struct {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"strconv"
+	"sync"
 	"time"
 
 	"tealpath/control"
@@ -17,8 +18,8 @@
 
 const (
 	path       = "/journal"
-	dialMost   = time.Second
-	silentMost = 2500 * time.Millisecond // a comment comes each second
+	dialMost   = 700 * time.Millisecond
+	silentMost = 1700 * time.Millisecond // a comment comes each second; what a stopped service has to tell counts after 4 s
 	againFirst = 50 * time.Millisecond
 	againMost  = 500 * time.Millisecond
 	brokenMost = 3 // times that an event is read again before it is passed over
@@ -26,12 +27,15 @@
 
 // Feed reads the journal service and posts what it tells.
 type Feed struct {
+	last   int64
+	post   func(router.Event)
+	log    func(string)
+	odd    int           // times that the event behind the last one could not be used
+	silent time.Duration // after which a connection is given up
+
+	mu      sync.Mutex
 	address string
-	last    int64
-	post    func(router.Event)
-	log     func(string)
-	odd     int           // times that the event behind the last one could not be used
-	silent  time.Duration // after which a connection is given up
+	cut     context.CancelFunc // ends the connection in hand, or the wait for the next
 }
 
 // New makes a feed that goes on behind an event.
@@ -39,36 +43,55 @@
 	return &Feed{address: address, last: last, post: post, log: log, silent: silentMost}
 }
 
+// Move makes the feed go on at an address, behind the last event. The connection in hand is not waited for: the
+// service before tells nothing more on it, but may keep it open.
+func (f *Feed) Move(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.address = address
+	if f.cut != nil {
+		f.cut()
+	}
+}
+
 // Run reads until the context ends; after every break it goes on behind the last event.
 func (f *Feed) Run(ctx context.Context) error {
 	lost, wait := false, againFirst
 	for ctx.Err() == nil {
-		err := f.follow(ctx, func() {
+		once, cut := context.WithCancel(ctx)
+		f.mu.Lock()
+		f.cut = cut
+		address := f.address
+		f.mu.Unlock()
+		err := f.follow(once, address, func() {
 			if wait = againFirst; lost {
 				lost = false
 				f.log("journal service connected again")
 			}
 		})
-		if ctx.Err() != nil {
-			break
-		}
-		if !lost {
-			lost = true
-			f.log(fmt.Sprintf("journal service lost behind event %d: %v", f.last, err))
+		if once.Err() == nil {
+			if !lost {
+				lost = true
+				f.log(fmt.Sprintf("journal service lost behind event %d: %v", f.last, err))
+			}
+			select {
+			case <-time.After(wait):
+			case <-once.Done():
+			}
+			wait = min(2*wait, againMost)
 		}
-		select {
-		case <-time.After(wait):
-		case <-ctx.Done():
+		if once.Err() != nil {
+			wait = againFirst // moved: nothing is known of this address yet
 		}
-		wait = min(2*wait, againMost)
+		cut()
 	}
 	return nil
 }
 
 // follow reads one connection; heard is called for all that comes.
-func (f *Feed) follow(ctx context.Context, heard func()) error {
+func (f *Feed) follow(ctx context.Context, address string, heard func()) error {
 	dialer := net.Dialer{Timeout: dialMost}
-	conn, err := dialer.DialContext(ctx, "tcp", f.address)
+	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
@@ -76,7 +99,7 @@
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	conn.SetDeadline(time.Now().Add(f.silent))
-	if err := sse.Request(conn, f.address, path, strconv.FormatInt(f.last, 10)); err != nil {
+	if err := sse.Request(conn, address, path, strconv.FormatInt(f.last, 10)); err != nil {
 		return err
 	}
 	stream, err := sse.Open(conn)
--- a/process/process.go
+++ b/process/process.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -105,8 +106,10 @@
 	event.Msg(l.Line)
 }
 
-// Run serves until leave ends and all that was taken is answered, or until ctx ends, which answers nothing.
-func (p *Process) Run(ctx context.Context, leave <-chan struct{}) error {
+// Run serves until leave ends and all that was taken is answered, or until ctx ends, which answers nothing. At
+// each signal of again the configuration is loaded anew.
+func (p *Process) Run(ctx context.Context, leave <-chan struct{}, again <-chan os.Signal,
+	load func() (*config.Config, error)) error {
 	p.enter(Starting)
 	defer p.enter(Stopped)
 	last, err := p.prepare()
@@ -137,14 +140,39 @@
 		return p.reduce(ctx, leave)
 	})
 	group.Go(func() error { return p.front.Serve(ctx) })
+	journal := feed.New(p.config.Journal, last, post, p.line)
+	group.Go(func() error { return journal.Run(ctx) })
 	group.Go(func() error {
-		return feed.New(p.config.Journal, last, post, p.line).Run(ctx)
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-again:
+				p.reload(load, journal)
+			}
+		}
 	})
 	err = group.Wait()
 	p.pool.Wait()
 	return err
 }
 
+// reload takes the journal service's address from the configuration as it is now. All else is in force from the
+// next start on; one that cannot be used changes nothing.
+func (p *Process) reload(load func() (*config.Config, error), journal *feed.Feed) {
+	next, err := load()
+	if err != nil {
+		p.line("configuration kept as it was: " + err.Error())
+		return
+	}
+	line := "configuration read again: journal service at " + next.Journal
+	if differs := p.config.Differs(next); differs != "" {
+		line += "; in force after a restart only: " + differs
+	}
+	p.line(line)
+	journal.Move(next.Journal)
+}
+
 // listen opens the listener. At a restart the router before may not have let go of the address yet.
 func (p *Process) listen(ctx context.Context) (net.Listener, error) {
 	for end := time.Now().Add(addressWait); ; time.Sleep(addressWait / 20) {
