Nobody is closed on with a request under way; bad clients and broken links bounded

Cause: clients that ask once and stay held the bound for 30 s, and front.add closed each new connection at once; one that had sent two requests lost the second. Checked: no fault line, no memory line, links flat. Ruled out: the idle limit (nobody asks after 30 s). Now front/front.go: at the bound a connection that nobody needs makes room (told its last answer; never asked; idle longest), never one on which something has come; if none can go, the new one waits unread. Members: an answer that stands still for 0.5 s ends its link (upstream); a link that breaks counts once against its member and not at all for what was not wholly written (control, Outcome.Shared and Cut); gone members are forgotten (control.Listed); due times end with their retrieval (due.Remove).

--- a/control/control.go
+++ b/control/control.go
@@ -86,10 +86,9 @@
 	for i, name := range get[[]string](set, "product.names", nil) {
 		due, none := at(set, "product.due", i, second), int64(0)
 		r.products[name] = &product{due: due, fresh: at(set, "product.fresh", i, none),
-			window: at(set, "product.window", i, none),
-			payoff: at(set, "product.payoff", i, 1.), dueStretch: at(set, "product.dueStretch", i, 0.),
-			effect: at(set, "product.effect", i, "one-shot"),
-			scope:  at(set, "product.scope", i, "cell"), neverKept: at(set, "product.neverKept", i, false),
+			window: at(set, "product.window", i, none), payoff: at(set, "product.payoff", i, 1.),
+			dueStretch: at(set, "product.dueStretch", i, 0.), scope: at(set, "product.scope", i, "cell"),
+			effect: at(set, "product.effect", i, "one-shot"), neverKept: at(set, "product.neverKept", i, false),
 			sending: float64(due) / 1e9, answer: float64(due) / 1e9, seen: 10}
 	}
 	return r, nil
@@ -168,18 +167,29 @@
 func (r *Router) next(now int64, t *Retrieval) Decision {
 	cache, source := r.place(now, t)
 	switch {
-	case !r.repeatable(now, t):
+	case !r.repeatable(now, t) || now >= t.unwrittenMost():
 	case cache != nil && r.room(now, t, cache):
 		if r.afford(t) {
 			return r.send(now, t, cache, source)
 		}
-	case now < t.arrived+t.product.due/8 && now+2*holdStep < t.HardStop:
+	case now < t.arrived+t.product.due/8 && now+2*holdStep < t.unwrittenMost():
 		// What waited longer was late after all; never past the client's own time: one was lost so.
 		return Decision{}
 	}
 	return r.giveUp(now, t)
 }
 
+// unwrittenMost is until when a retrieval may stay without a dispatch that came whole to a cache: given up on
+// later than at half its time, the client could have asked elsewhere long before.
+func (t *Retrieval) unwrittenMost() int64 {
+	for _, d := range t.dispatches {
+		if d.mayHaveRun() || d.result == Full || d.result == Missing {
+			return t.HardStop
+		}
+	}
+	return t.arrived + (t.HardStop-t.arrived)/2
+}
+
 // room keeps what is in hand to what comes in time, learned from how much does: likely hits by the cache's
 // link, likely fills by the location's. Beyond that all get late together, the clients come again, and the
 // jam outlives its cause. What earns least for its sending time goes first, and clients' repeats: most are
@@ -365,7 +375,7 @@
 		r.check(now, m)
 		tried := slices.ContainsFunc(t.dispatches, func(d *dispatch) bool {
 			// A connection that broke by itself is no reason to fill the object elsewhere.
-			broke := d.ended && (d.result == Broken || d.result == Faulty || d.result == Missing)
+			broke := slices.Contains([]Result{Broken, Cut, Faulty, Missing}, d.result)
 			return !broke && (d.cache == m || d.source == m)
 		})
 		trial := now >= m.trialAt && !m.trial && len(t.dispatches) == 0 && (m.Location == r.home &&
@@ -385,9 +395,9 @@
 	if d.lateFrom = now + r.dueIn(t); t.SizeKB == 0 {
 		d.lateFrom += 2 * r.dueIn(t) // it may be large, and then it draws on the links still
 	}
+	out := Dispatch{Cache: cache.ID, Within: t.HardStop - now, Reach: t.unwrittenMost() - now}
 	t.dispatches = append(t.dispatches, d)
 	t.out++
-	out := Dispatch{Cache: cache.ID, Within: t.HardStop - now}
 	for _, m := range []*member{cache, source} {
 		if m == nil {
 			continue
@@ -552,14 +562,14 @@
 			m.weight = 1 // a weight that follows the load would move objects from home to home
 		}
 	}
-	kind := func(name string) string {
-		return at(r.set, "kinds", int(get(r.set, name, int64(-1))), "none")
-	}
+	kind := func(name string) string { return at(r.set, "kinds", int(get(r.set, name, int64(-1))), "none") }
 	r.caches, r.parents, r.origin = nil, nil, nil
 	for _, id := range slices.Sorted(maps.Keys(r.members)) {
 		m := r.members[id]
 		// Rule 3: whoever drains or is gone gets nothing new from now on, and is no source.
 		switch {
+		case !m.listed && len(m.out) == 0:
+			delete(r.members, id) // new ones come under new ids without end
 		case !m.listed || m.Phase != "ready":
 		case m.Kind == kind("kind.origin"):
 			r.origin = cmp.Or(r.origin, m)
@@ -628,6 +638,8 @@
 		if good = [2]float64{1, 1}; !inTime {
 			good, bad = bad, good // a cache or source that is only slow showed in no other way
 		}
+	case o.Shared: // a connection that broke is one failure: counted by all that was open on it, it made a
+		bad = [2]float64{} // healthy member suspect
 	case o.Result == Full && o.Note == 9: // notes: 9 names the cache, 6 to 8 the source
 		bad[1] = 0
 	case o.Result == Full && o.Note >= 6 && o.Note <= 8:
@@ -673,7 +685,7 @@
 		m.bad = fade(m.bad, now-m.scored, healthSpan) + bad[i]
 		m.scored = now
 		m.off = m.off || m == d.cache && o.Result == Unreached || m == d.source && o.Result == Full && bad[1] > 0
-		silent := slices.Contains([]Result{Unreached, Late, Cancelled, Unsent}, o.Result)
+		silent := slices.Contains([]Result{Unreached, Late, Cancelled, Cut, Unsent}, o.Result)
 		if m == d.cache && !silent || kind > hits && o.Result == Good {
 			m.heard = now
 		}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -531,3 +531,43 @@
 		}
 	})
 }
+
+// New members come under new ids through a long day; what has gone is kept only while something is out there.
+func TestGoneMembersAreForgotten(t *testing.T) {
+	r := newRouter(t, nil)
+	for n := range 5000 {
+		now := start + int64(n)*second/10
+		lines := append([]Listing{{ID: uint32(100 + n), Location: "here", Kind: "cache", Phase: "ready", Units: 5}}, fleet...)
+		r.Listed(now, lines, true, false)
+		ret := ask("harmless", fmt.Sprint(n))
+		if d := r.Where(now, ret); d.Verdict != Send {
+			t.Fatalf("verdict %v", d.Verdict)
+		}
+		r.After(now, ret, Outcome{Result: Good, Closed: true})
+		r.Tick(now)
+	}
+	if len(r.members) > len(fleet)+1 {
+		t.Errorf("%d members kept", len(r.members))
+	}
+}
+
+// Given up on late without having been at any cache, a retrieval costs more than one refused at once.
+func TestUnwrittenIsGivenUpByHalfItsTime(t *testing.T) {
+	for _, c := range []struct {
+		result Result
+		after  int64
+		want   Verdict
+	}{{Unreached, second - 1, Send}, {Unreached, second, Dismiss}, {Cut, second, Dismiss}, {Unsent, second, Dismiss},
+		{Full, second, Send}, {Broken, second, Send}} {
+		t.Run(fmt.Sprint(c.result, c.after), func(t *testing.T) {
+			r, ret := newRouter(t, nil), ask("harmless", "a")
+			ret.HardStop = start + 2*second
+			if d := r.Where(start, ret); d.Dispatch.Reach != second {
+				t.Errorf("to be on its way within %d", d.Dispatch.Reach)
+			}
+			if d := r.After(start+c.after, ret, Outcome{Result: c.result}); d.Verdict != c.want {
+				t.Errorf("verdict %v, want %v", d.Verdict, c.want)
+			}
+		})
+	}
+}
--- a/control/types.go
+++ b/control/types.go
@@ -57,6 +57,7 @@
 	Held     bool  // the source gives only what it holds
 	NoParent bool  // the parent keeps no copy
 	Within   int64 // this dispatch's time-out; 0 is until the client gives up
+	Reach    int64 // until then it must be on its way, else it counts as unreached
 }
 
 // Decision is the module's answer to Where and After.
@@ -75,6 +76,7 @@
 	Full Result = iota
 	Unreached
 	Missing
+	Cut // its connection ended before it was wholly sent
 	Unsent
 	Good
 	Faulty
@@ -89,6 +91,7 @@
 	Result Result
 	Spent  int64
 	Closed bool // the retrieval is finished by this or before
+	Shared bool // the cause was told already, with another dispatch on the same connection
 	Note   int64
 	Waited int64     // time to the source's first byte
 	Load   []float64 // the load report, in the order of the setting report.fields; nil if none
--- a/due/due.go
+++ b/due/due.go
@@ -15,10 +15,20 @@
 	entered int
 }
 
+// Entry is what was entered once; it can be taken out before its time.
+type Entry[T any] struct {
+	at    int64
+	order int
+	place int // in the heap; -1 once it is out
+	what  T
+}
+
 // Push enters what is due at a time.
-func (o *Order[T]) Push(at int64, what T) {
+func (o *Order[T]) Push(at int64, what T) *Entry[T] {
 	o.entered++
-	heap.Push(&o.entries, entry[T]{at, o.entered, what})
+	e := &Entry[T]{at: at, order: o.entered, what: what}
+	heap.Push(&o.entries, e)
+	return e
 }
 
 // Next is the earliest time, or Never.
@@ -31,28 +41,39 @@
 
 // Pop takes out the earliest; there must be one.
 func (o *Order[T]) Pop() (int64, T) {
-	first := heap.Pop(&o.entries).(entry[T])
+	first := heap.Pop(&o.entries).(*Entry[T])
 	return first.at, first.what
 }
 
-type entry[T any] struct {
-	at    int64
-	order int
-	what  T
+// Remove takes an entry out, unless it is out already or there is none.
+func (o *Order[T]) Remove(e *Entry[T]) {
+	if e != nil && e.place >= 0 {
+		heap.Remove(&o.entries, e.place)
+	}
 }
 
-type entries[T any] []entry[T]
+// Len is how many are entered.
+func (o *Order[T]) Len() int { return len(o.entries) }
+
+type entries[T any] []*Entry[T]
 
 func (e entries[T]) Len() int { return len(e) }
 func (e entries[T]) Less(i, j int) bool {
 	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
 }
-func (e entries[T]) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *entries[T]) Push(x any)   { *e = append(*e, x.(entry[T])) }
+func (e entries[T]) Swap(i, j int) {
+	e[i], e[j] = e[j], e[i]
+	e[i].place, e[j].place = i, j
+}
+func (e *entries[T]) Push(x any) {
+	entry := x.(*Entry[T])
+	entry.place = len(*e)
+	*e = append(*e, entry)
+}
 func (e *entries[T]) Pop() any {
 	old := *e
 	last := old[len(old)-1]
-	old[len(old)-1] = entry[T]{}
+	old[len(old)-1], last.place = nil, -1
 	*e = old[:len(old)-1]
 	return last
 }
--- a/due/due_test.go
+++ b/due/due_test.go
@@ -28,3 +28,37 @@
 		})
 	}
 }
+
+// What is over before its time must not be kept until then.
+func TestRemove(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		out  []int
+		want []int
+	}{{"the first", []int{0}, []int{2, 1, 3}}, {"the last", []int{3}, []int{0, 2, 1}},
+		{"one in between, twice", []int{2, 2}, []int{0, 1, 3}}, {"all", []int{1, 0, 3, 2}, nil}} {
+		t.Run(c.name, func(t *testing.T) {
+			var o Order[int]
+			var in []*Entry[int]
+			for i, at := range []int64{1, 5, 3, 7} {
+				in = append(in, o.Push(at, i))
+			}
+			o.Remove(nil)
+			for _, i := range c.out {
+				o.Remove(in[i])
+			}
+			if o.Len() != len(c.want) {
+				t.Errorf("%d left", o.Len())
+			}
+			var got []int
+			for o.Next() != Never {
+				_, i := o.Pop()
+				o.Remove(in[i])
+				got = append(got, i)
+			}
+			if !slices.Equal(got, c.want) {
+				t.Errorf("%v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/front/front.go
+++ b/front/front.go
@@ -7,11 +7,14 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -20,15 +23,27 @@
 	"tealpath/thrift"
 )
 
-// Times that bound what a slow or dead client can hold.
+// Times that bound what a slow, dead or bad client can hold.
 const (
-	idleMost  = 30 * time.Second // with no request open
-	frameMost = 10 * time.Second // for a request to come whole, and for a client to take some of an answer
+	newMost   = 2 * time.Second  // from connecting until something is open or has been answered
+	frameMost = 2 * time.Second  // for a request to come whole
+	takeMost  = 10 * time.Second // for a client to take some of an answer
+	idleMost  = 10 * time.Second // with no request open; clients close what is idle after 4 s
 	acceptGap = 10 * time.Millisecond
 
-	lingerMost = time.Second
+	lingerMost  = 2 * time.Second // for a client to read its last answers
+	lingerGap   = time.Millisecond
+	lingerBytes = 32 << 10 // thrown away between two gaps: one that sends without end gets little of the core
 )
 
+const (
+	roomTries   = 8                      // connections that are looked at for one that can be closed
+	readingMost = 300 * time.Millisecond // for a request to come before its connection may be closed for another
+)
+
+// excessMost is how many requests in a row may come beyond those that a connection may have open.
+const excessMost = 8
+
 // batchMost is about how many bytes are written at once.
 const batchMost = 1 << 18
 
@@ -41,6 +56,7 @@
 // Limits bound what the front holds.
 type Limits struct {
 	Connections int
+	Open        int   // requests on one connection
 	Bytes       int64 // of requests being read and, apart, of answers waiting to be written
 }
 
@@ -99,30 +115,107 @@
 			failing = false
 			f.log("connections are accepted again")
 		}
-		if c := f.add(conn); c != nil {
-			f.group.Add(1)
-			go func() {
-				defer f.group.Done()
-				c.serve(ctx)
-			}()
+		// Closed at once instead of waiting, it took with it what the client had asked for already.
+		for !f.room() {
+			select {
+			case <-time.After(acceptGap):
+			case <-ctx.Done():
+				conn.Close()
+				return nil
+			}
 		}
+		c := f.add(conn)
+		f.group.Add(1)
+		go func() {
+			defer f.group.Done()
+			c.serve(ctx)
+		}()
 	}
 }
 
-// add takes a connection in, or closes it if there are too many.
+// add takes a connection in.
 func (f *Front) add(conn net.Conn) *client {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.clients) >= f.limits.Connections {
-		conn.Close()
-		return nil
-	}
 	f.last++
-	c := &client{front: f, id: f.last, conn: conn, open: map[int32]int{}, wake: make(chan struct{}, 1)}
+	now := time.Now()
+	c := &client{front: f, id: f.last, conn: conn, since: now, used: now, open: map[int32]bool{}, wake: make(chan struct{}, 1)}
 	f.clients[c.id] = c
 	return c
 }
 
+// room tells whether there is room for a connection. If there are too many, one that nobody needs makes room:
+// hundreds that say nothing, or are kept for good, kept usual clients out.
+func (f *Front) room() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for range roomTries {
+		if len(f.clients) < f.limits.Connections {
+			return true
+		}
+		c := f.unneeded()
+		if c == nil {
+			return false
+		}
+		if c.takeOut() {
+			delete(f.clients, c.id)
+		}
+	}
+	return false
+}
+
+// takeOut closes a connection, unless something has come on it that is not read yet: whoever asked is answered.
+func (c *client) takeOut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lingering && pending(c.conn) {
+		c.used = time.Now()
+		return false
+	}
+	c.conn.Close()
+	return true
+}
+
+// pending tells whether something has come on a connection that is not read yet.
+func pending(conn net.Conn) bool {
+	n := 0
+	if c, ok := conn.(syscall.Conn); ok {
+		if raw, err := c.SyscallConn(); err == nil {
+			raw.Control(func(fd uintptr) {
+				n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			})
+		}
+	}
+	return n > 0
+}
+
+// unneeded picks the connection to close for a new one: one that has had its last answer, else the oldest that
+// has never asked for anything, else the one with nothing open for longest.
+func (f *Front) unneeded() (best *client) {
+	bestGrade, bestUsed := 0, time.Time{}
+	for _, c := range f.clients {
+		if grade, used := c.need(); grade > bestGrade || grade == bestGrade && grade > 0 && used.Before(bestUsed) {
+			best, bestGrade, bestUsed = c, grade, used
+		}
+	}
+	return best
+}
+
+// need grades how little a connection is needed, from 0, and tells since when.
+func (c *client) need() (int, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.lingering:
+		return 3, c.used
+	case len(c.open) > 0 || len(c.queue) > 0 || c.writing || c.reading && time.Since(c.used) < readingMost:
+		return 0, c.used
+	case !c.answered:
+		return 2, c.used
+	}
+	return 1, c.used
+}
+
 // Answer writes a final answer to its client, if that is still there. It never waits.
 func (f *Front) Answer(a router.Answer) {
 	f.mu.Lock()
@@ -157,9 +250,10 @@
 	case router.Unusable:
 		out.Fault, out.Text = thrift.ProtocolError, a.Why
 	}
-	// In this order: a connection that ends once all is answered ended between the two, without the answer.
-	c.send(out)
-	c.close(a.Seq)
+	c.answer(out)
+	if a.Kind == router.Unusable {
+		c.offend()
+	}
 }
 
 // Flushed tells whether every answer has been written.
@@ -179,15 +273,22 @@
 	front *Front
 	id    router.ClientID
 	conn  net.Conn
+	since time.Time
 	wake  chan struct{}
 
-	mu      sync.Mutex
-	queue   net.Buffers
-	bytes   int64
-	writing bool
-	open    map[int32]int // requests read and not yet answered
-	ending  bool          // nothing more is read: it ends once all is answered
-	gone    bool          // nothing more is queued
+	mu        sync.Mutex
+	queue     net.Buffers
+	bytes     int64
+	writing   bool
+	open      map[int32]bool // requests read and not yet answered
+	excess    int            // requests in a row beyond those that may be open
+	reading   bool           // something has come that is not taken in yet
+	used      time.Time      // when it last came, asked or was answered
+	answered  bool           // at least once
+	offended  bool           // it sent what no usual client sends: it gets its answers and nothing more is read
+	ending    bool           // nothing more is read: it ends once all is answered
+	lingering bool           // it has had its last answer
+	gone      bool           // nothing more is queued
 }
 
 func (c *client) serve(ctx context.Context) {
@@ -202,11 +303,17 @@
 	err := c.read(ctx)
 	c.mu.Lock()
 	c.ending = true
-	if !endsReading(err) {
+	if !c.offended && !endsReading(err) {
 		clear(c.open) // the client has gone
 		c.conn.Close()
 	}
+	offended := c.offended
 	c.mu.Unlock()
+	if offended {
+		// What else it asked for is not served either, and not at the cost of others.
+		c.front.post(router.Left{Client: c.id})
+		c.abort()
+	}
 	c.signal()
 	<-written
 	c.linger()
@@ -220,15 +327,46 @@
 	c.front.post(router.Left{Client: c.id})
 }
 
+// offend ends the reading from a client that sent what no usual client sends: at full speed it took the core from
+// the others. It has been told already.
+func (c *client) offend() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.offended = true
+	c.conn.SetReadDeadline(time.Now()) // it may be waiting for more
+}
+
+// abort fails all that is open.
+func (c *client) abort() {
+	c.mu.Lock()
+	open := slices.Sorted(maps.Keys(c.open))
+	c.mu.Unlock()
+	for _, seq := range open {
+		c.answer(thrift.Answer{Method: "call", Seq: seq, Field: 2})
+	}
+}
+
 // linger lets the client read its last answers: closing with input unread would reset the connection, and
 // what the client had not read by then was lost to it.
 func (c *client) linger() {
-	if tcp, ok := c.conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
-		tcp.SetReadDeadline(time.Now().Add(lingerMost))
-		io.Copy(io.Discard, tcp)
+	tcp, ok := c.conn.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil {
+		return
+	}
+	c.mu.Lock()
+	c.lingering = true
+	c.mu.Unlock()
+	for end := time.Now().Add(lingerMost); time.Now().Before(end); time.Sleep(lingerGap) {
+		tcp.SetReadDeadline(end)
+		if _, err := io.CopyN(io.Discard, tcp, lingerBytes); err != nil {
+			return
+		}
 	}
 }
 
+// errOffence ends the reading from a client that offended.
+var errOffence = errors.New("front: a client sent what no usual one sends")
+
 // endsReading tells whether an error leaves the way to the client open, so that what was understood before it
 // is still answered: the client has closed its side only, or sent what cannot be understood. One that closed
 // both sides shows by the first answer to it.
@@ -245,14 +383,21 @@
 func (c *client) read(ctx context.Context) error {
 	in := bufio.NewReaderSize(c.conn, smallFrame)
 	for {
-		c.conn.SetReadDeadline(time.Now().Add(idleMost))
+		c.conn.SetReadDeadline(c.patience())
+		if c.bad() {
+			return errOffence
+		}
 		if _, err := in.Peek(1); err != nil {
-			if errors.Is(err, os.ErrDeadlineExceeded) && !c.idle() {
+			if errors.Is(err, os.ErrDeadlineExceeded) && (!c.idle() || pending(c.conn)) {
 				continue
 			}
 			return err
 		}
+		c.note(true)
 		c.conn.SetReadDeadline(time.Now().Add(frameMost))
+		if c.bad() {
+			return errOffence
+		}
 		frame, err := c.frame(ctx, in)
 		if err != nil {
 			return err
@@ -262,29 +407,58 @@
 			return err
 		}
 		c.message(m)
+		c.note(in.Buffered() > 0)
 	}
 }
 
-// frame reads one frame; large ones share a bounded memory.
+// note keeps whether something is being read.
+func (c *client) note(reading bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading, c.used = reading, time.Now()
+}
+
+// patience is until when the next request is waited for. One who connects and asks for nothing, or takes back all
+// it asked for, is waited for less long than one who was answered.
+func (c *client) patience() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now := time.Now(); c.answered {
+		return now.Add(idleMost)
+	} else if first := c.since.Add(newMost); now.Before(first) {
+		return first
+	} else {
+		return now.Add(newMost / 10)
+	}
+}
+
+// frame reads one frame; large ones share a bounded memory, but only once something of them has come: a mere
+// claim costs others nothing.
 func (c *client) frame(ctx context.Context, in *bufio.Reader) ([]byte, error) {
 	size, err := thrift.FrameSize(in)
 	if err != nil {
 		return nil, err
 	}
-	if size > smallFrame {
-		if err := c.front.reading.Acquire(ctx, int64(size)); err != nil {
-			return nil, err
-		}
-		defer c.front.reading.Release(int64(size))
+	frame := make([]byte, min(size, smallFrame))
+	if _, err := io.ReadFull(in, frame); err != nil || size <= smallFrame {
+		return frame, err
 	}
-	frame := make([]byte, size)
-	_, err = io.ReadFull(in, frame)
+	ctx, cancel := context.WithTimeout(ctx, frameMost)
+	defer cancel()
+	if err := c.front.reading.Acquire(ctx, int64(size)); err != nil {
+		return nil, err
+	}
+	defer c.front.reading.Release(int64(size))
+	frame = append(make([]byte, 0, size), frame...)[:size]
+	_, err = io.ReadFull(in, frame[smallFrame:])
 	return frame, err
 }
 
+// message takes a message in. A client that sent what cannot be used is told so, and no more is read from it.
 func (c *client) message(m thrift.Message) {
 	fault := func(kind int, text string) {
 		c.send(thrift.Answer{Method: m.Name, Seq: m.Seq, Fault: kind, Text: text})
+		c.offend()
 	}
 	if m.Type != thrift.Call && m.Type != thrift.Oneway {
 		fault(thrift.InvalidType, "not a call")
@@ -304,27 +478,56 @@
 	case m.Name == "health":
 		c.send(thrift.Answer{Method: m.Name, Seq: m.Seq, Good: c.front.ready.Load()})
 	default:
-		c.mu.Lock()
-		c.open[m.Seq]++
-		c.mu.Unlock()
-		c.front.post(router.Requested{Client: c.id, Seq: m.Seq, Fields: args.Fields, Body: args.Body})
+		switch c.enter(m.Seq) {
+		case entered:
+			c.front.post(router.Requested{Client: c.id, Seq: m.Seq, Fields: args.Fields, Body: args.Body})
+		case inUse:
+			fault(thrift.BadSequence, "sequence number in use")
+		case tooMany:
+			c.send(thrift.Answer{Method: m.Name, Seq: m.Seq, Field: 1})
+		}
 	}
 }
 
+// What may become of a request that comes.
+const (
+	entered = iota
+	inUse
+	tooMany
+)
+
+// enter notes a request as open, if it may be.
+func (c *client) enter(seq int32) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.open[seq]:
+		return inUse
+	case len(c.open) >= c.front.limits.Open:
+		if c.excess++; c.excess > excessMost {
+			c.offended = true
+		}
+		return tooMany
+	}
+	c.excess, c.open[seq] = 0, true
+	return entered
+}
+
 // close takes one request off those that are open, and tells whether there was one.
 func (c *client) close(seq int32) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.open[seq] == 0 {
-		return false
-	}
-	if c.open[seq]--; c.open[seq] == 0 {
-		delete(c.open, seq)
-	}
-	if c.ending {
+	open := c.open[seq]
+	if delete(c.open, seq); c.ending {
 		c.signal()
 	}
-	return true
+	return open
+}
+
+func (c *client) bad() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.offended
 }
 
 func (c *client) idle() bool {
@@ -346,21 +549,38 @@
 	}
 }
 
-// send queues an answer for the writer.
-func (c *client) send(a thrift.Answer) {
+// answer queues the answer to an open request. In one step: a connection that ends once all is answered ended
+// between the two, without the answer.
+func (c *client) answer(a thrift.Answer) {
 	pieces := thrift.Frame(a)
-	size := int64(0)
-	for _, p := range pieces {
-		size += int64(len(p))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open[a.Seq] {
+		delete(c.open, a.Seq)
+		c.enqueue(pieces)
 	}
+}
+
+// send queues what answers no open request.
+func (c *client) send(a thrift.Answer) {
+	pieces := thrift.Frame(a)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.enqueue(pieces)
+}
+
+func (c *client) enqueue(pieces [][]byte) {
 	if c.gone {
 		return
 	}
+	size := int64(0)
+	for _, p := range pieces {
+		size += int64(len(p))
+	}
 	c.queue = append(c.queue, pieces...)
 	c.bytes += size
 	c.front.queued.Add(size)
+	c.answered, c.used = true, time.Now()
 	if len(c.queue) > queueMost {
 		c.conn.Close() // it asks without end and reads nothing
 	}
@@ -398,7 +618,7 @@
 			}
 			continue
 		}
-		c.conn.SetWriteDeadline(time.Now().Add(frameMost))
+		c.conn.SetWriteDeadline(time.Now().Add(takeMost))
 		_, err := batch.WriteTo(c.conn)
 		c.mu.Lock()
 		c.writing, c.bytes = false, c.bytes-size
--- a/process/process.go
+++ b/process/process.go
@@ -132,6 +132,7 @@
 	report, _ := p.config.Settings["report.fields"].([]string)
 	p.pool = upstream.New(ctx, report, post)
 	p.front = front.New(listener, front.Limits{Connections: int(clientShare * float64(p.sockets())),
+		Open:  openMost,
 		Bytes: int64(p.bytes(answerShare))}, post, p.line)
 	p.enter(Serving)
 	p.front.SetReady(p.listed)
@@ -203,8 +204,8 @@
 		hands = 1 << 14
 	}
 	now := time.Now().UnixNano()
-	p.router, err = router.New(now, p.config.Seed, p.config.Settings, router.Limits{Hands: int(hands), Open: openMost,
-		Bytes: p.bytes(bodyShare), Links: int(linkShare * float64(p.sockets()))})
+	p.router, err = router.New(now, p.config.Seed, p.config.Settings, router.Limits{Hands: int(hands), Bytes: p.bytes(bodyShare),
+		Links: int(linkShare * float64(p.sockets()))})
 	if err != nil {
 		return 0, fmt.Errorf("%w: settings: %w", ErrConfig, err)
 	}
--- a/router/links.go
+++ b/router/links.go
@@ -61,10 +61,11 @@
 	d.link.open[d.request.ID] = d
 	d.link.used = r.now
 	d.until = r.now + within
-	r.due.Push(d.until, task{dispatch: d})
 	if d.link.up {
-		r.do(Send{Link: d.link.id, Request: d.request})
+		r.write(d)
+		return
 	}
+	d.ends = r.due.Push(min(d.until, r.now+plan.Reach), task{dispatch: d})
 }
 
 // pick gives the least used link to a member, or dials one. A link on which this id was given up before is
@@ -121,11 +122,18 @@
 	l.up, l.heard = true, r.now
 	for _, d := range r.inOpen(l) {
 		d.request.Budget = d.until - r.now
-		r.do(Send{Link: l.id, Request: d.request})
+		r.write(d)
 	}
 	r.tidy(l)
 }
 
+// write sends a dispatch on a link that is up; from now on it has until its time-out.
+func (r *Router) write(d *dispatch) {
+	r.due.Remove(d.ends)
+	d.ends = r.due.Push(d.until, task{dispatch: d})
+	r.do(Send{Link: d.link.id, Request: d.request})
+}
+
 // inOpen is what is open on a link, in the order of its sending.
 func (r *Router) inOpen(l *link) []*dispatch {
 	return slices.SortedFunc(maps.Values(l.open), func(a, b *dispatch) int {
@@ -145,12 +153,17 @@
 	r.unlink(l)
 	open := r.inOpen(l)
 	clear(l.open)
+	shared := false
 	for _, d := range open {
 		result := control.Broken
-		if !l.up || slices.Contains(unsent, d.request.ID) {
+		switch {
+		case !l.up:
 			result = control.Unreached
+		case slices.Contains(unsent, d.request.ID):
+			result = control.Cut
 		}
-		r.ended(d, control.Outcome{Result: result})
+		r.ended(d, control.Outcome{Result: result, Shared: shared})
+		shared = shared || result == control.Broken
 	}
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"maps"
+	"math"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -20,7 +22,8 @@
 	// shared, and over the network, some of that time is gone before the client has it.
 	wayBack = 20 * millisecond
 
-	sizeMost = 1e9 // KB that a size can be
+	sizeMost = 1e9     // KB that a size can be
+	bodyMost = 240_000 // bytes of an object
 
 	// tickAfterFault is when the periodic work is done again if it fails; at once it would keep the core busy.
 	tickAfterFault = 1000 * millisecond
@@ -30,7 +33,6 @@
 type Limits struct {
 	Links int // connections to members, all together
 	Hands int // retrievals in hand
-	Open  int // retrievals in hand for one client's connection
 	Bytes int // of the bodies of retrievals in hand
 }
 
@@ -59,6 +61,7 @@
 	longest                            int64 // that a client may wait
 	streams                            int64
 	mayCancel                          bool
+	products                           []string
 }
 
 // hand is a retrieval in hand.
@@ -70,7 +73,8 @@
 	body       []byte
 	dispatches []*dispatch
 	finished   bool
-	due        int64 // when the module wants to be asked again; 0 is not
+	ends       *due.Entry[task] // the end of its time
+	asks       *due.Entry[task] // when the module wants to be asked again
 }
 
 // dispatch is one sending of a retrieval.
@@ -81,6 +85,7 @@
 	link          *link
 	request       Request
 	sent, until   int64
+	ends          *due.Entry[task] // its time-out
 	ended         bool
 }
 
@@ -98,7 +103,7 @@
 		members: map[string]*member{}, byID: map[uint32]*member{}, links: map[LinkID]*link{},
 		dialWithin: setting(set, "connect.within", int64(1e9)), idleAfter: setting(set, "connect.idle", int64(30e9)),
 		answerGrace: setting(set, "answer.grace", int64(0)), streams: setting(set, "connect.streams", int64(1)),
-		mayCancel: setting(set, "cancel", false)}
+		mayCancel: setting(set, "cancel", false), products: setting(set, "product.names", []string(nil))}
 	for _, stop := range setting(set, "product.hardStop", []int64(nil)) {
 		r.longest = max(r.longest, stop)
 	}
@@ -202,15 +207,20 @@
 	}
 	h := &hand{client: e.Client, seq: e.Seq, fields: e.Fields, body: e.Body}
 	why := h.read(r.at)
-	if r.ids[h.fields["txn"]] {
+	switch {
+	case why != "":
+	case !slices.Contains(r.products, h.Product):
+		why = "field verb names no product"
+	case r.ids[h.fields["txn"]]:
 		why = "field txn is in use" // answers to the one would be taken for the other's
+	case len(h.body) > bodyMost:
+		why = "the body is too long"
 	}
 	if why != "" {
 		turnAway(Unusable, why)
 		return
 	}
-	if r.hands >= r.limits.Hands || len(r.clients[e.Client]) >= r.limits.Open ||
-		r.bytes+len(h.body) > r.limits.Bytes {
+	if r.hands >= r.limits.Hands || r.bytes+len(h.body) > r.limits.Bytes {
 		turnAway(Dismissed, "")
 		return
 	}
@@ -226,7 +236,7 @@
 	r.ids[h.fields["txn"]] = true
 	r.hands++
 	r.bytes += len(h.body)
-	r.due.Push(h.HardStop+r.answerGrace, task{hand: h, last: true})
+	h.ends = r.due.Push(h.HardStop+r.answerGrace, task{hand: h, last: true})
 	r.act(h, r.decide.Where(r.now, &h.Retrieval))
 }
 
@@ -236,8 +246,8 @@
 		n, err := strconv.ParseUint(h.fields[name], 10, 32) // digits alone: it goes on as it came
 		return int64(n), err == nil && n <= most
 	}
-	limit, ok1 := number("limit", 1<<31)
-	part, ok2 := number("nth", 1<<31)
+	limit, ok1 := number("limit", math.MaxInt32)
+	part, ok2 := number("nth", math.MaxInt32)
 	group, ok3 := number("batch", 255)
 	for _, f := range []struct {
 		name string
@@ -288,10 +298,9 @@
 	if h.finished {
 		return
 	}
-	h.due = 0
+	r.due.Remove(h.asks)
 	if wait := r.decide.Wait(r.now, &h.Retrieval); wait > 0 {
-		h.due = r.now + wait
-		r.due.Push(h.due, task{hand: h})
+		h.asks = r.due.Push(r.now+wait, task{hand: h})
 	}
 }
 
@@ -311,6 +320,9 @@
 		return
 	}
 	h.finished = true
+	// Left to come due, they kept all of a retrieval for seconds after its end.
+	r.due.Remove(h.ends)
+	r.due.Remove(h.asks)
 	r.bytes -= len(h.body)
 	h.body = nil
 	r.hands--
@@ -351,6 +363,7 @@
 		return
 	}
 	d.ended, d.request.Body = true, nil
+	r.due.Remove(d.ends)
 	h := d.hand
 	o.Number, o.Spent, o.Closed = d.number, r.now-d.sent, h.finished
 	decision := r.decide.After(r.now, &h.Retrieval, o)
@@ -395,8 +408,7 @@
 		h := what.hand
 		r.finish(h, Answer{Kind: Aborted})
 		r.departed(h)
-	case what.hand.due > 0 && what.hand.due <= r.now:
-		what.hand.due = 0
+	default:
 		r.act(what.hand, r.decide.Where(r.now, &what.hand.Retrieval))
 	}
 }
@@ -431,9 +443,13 @@
 				continue
 			}
 			h.HardStop = e.By
-			r.due.Push(e.By+r.answerGrace, task{hand: h, last: true})
+			r.due.Remove(h.ends)
+			h.ends = r.due.Push(e.By+r.answerGrace, task{hand: h, last: true})
 			for _, d := range h.dispatches {
-				r.due.Push(e.By, task{dispatch: d})
+				if !d.ended {
+					r.due.Remove(d.ends)
+					d.ends = r.due.Push(min(e.By, d.until), task{dispatch: d})
+				}
 			}
 		}
 	}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -149,9 +149,34 @@
 	group.Wait()
 }
 
+// stallMost is for how long an answer that has begun may stand still. One that stops short held up all that was
+// asked on its link, to the end of its time.
+const stallMost = 500 * time.Millisecond
+
+// stalling ends a read inside an answer that brings nothing for too long; between answers it waits.
+type stalling struct {
+	net.Conn
+	inside bool
+}
+
+func (s *stalling) Read(p []byte) (int, error) {
+	until := time.Time{}
+	if s.inside {
+		until = time.Now().Add(stallMost)
+	}
+	s.SetReadDeadline(until)
+	return s.Conn.Read(p)
+}
+
 func (l *link) read(conn net.Conn) error {
-	in := bufio.NewReader(conn)
+	from := &stalling{Conn: conn}
+	in := bufio.NewReader(from)
 	for {
+		from.inside = false
+		if _, err := in.Peek(1); err != nil {
+			return err
+		}
+		from.inside = true
 		words, err := resp.Read(in)
 		if err != nil {
 			return err
