--- a/process/process.go
+++ b/process/process.go
@@ -3,6 +3,7 @@
 package process
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -57,7 +58,7 @@
 	openMost     = 32 // requests on one client's connection
 	inboxMost    = 64 // events on their way to the reducer
 	leastSockets = 64
-	leastMemory  = 64 // MB
+	usualMemory  = 64 // MB, where no limit is set
 )
 
 // Process is one router's process.
@@ -188,7 +189,7 @@
 
 // bytes is a share of the memory.
 func (p *Process) bytes(share float64) int {
-	return int(share * float64(max(p.config.MemoryMB, leastMemory)<<20))
+	return int(share * float64(cmp.Or(p.config.MemoryMB, usualMemory)<<20))
 }
 
 // prepare sets the limits and gives the reducer all that is known at the start.
