--- a/front/front.go
+++ b/front/front.go
@@ -169,7 +169,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.lingering && pending(c.conn) {
-		c.used = time.Now()
+		c.reading, c.used = true, time.Now() // as its reader will find soon; looked at again and again it hid the others
 		return false
 	}
 	c.conn.Close()
@@ -189,8 +189,8 @@
 	return n > 0
 }
 
-// unneeded picks the connection to close for a new one: one that has had its last answer, else the oldest that
-// has never asked for anything, else the one with nothing open for longest.
+// unneeded picks the connection to close for a new one: one that has had its last answer, else one that has not
+// asked for anything, else the one with nothing open for longest, else the oldest of those that have just come.
 func (f *Front) unneeded() (best *client) {
 	bestGrade, bestUsed := 0, time.Time{}
 	for _, c := range f.clients {
@@ -207,13 +207,15 @@
 	defer c.mu.Unlock()
 	switch {
 	case c.lingering:
-		return 3, c.used
+		return 4, c.used
 	case len(c.open) > 0 || len(c.queue) > 0 || c.writing || c.reading && time.Since(c.used) < readingMost:
 		return 0, c.used
-	case !c.answered:
+	case c.answered:
 		return 2, c.used
+	case time.Since(c.used) < readingMost:
+		return 1, c.used // its request may be on the way
 	}
-	return 1, c.used
+	return 3, c.used
 }
 
 // Answer writes a final answer to its client, if that is still there. It never waits.
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -259,6 +259,25 @@
 	}
 }
 
+// Who has just come and asked is no reason to keep the next one waiting: at the bound each cost 10 ms.
+func TestManyThatAskOnceAndStay(t *testing.T) {
+	f, _ := serving(t, Limits{Connections: 50, Open: 32, Bytes: 1 << 20})
+	f.post = func(router.Event) {}
+	begun, conns := time.Now(), []net.Conn{}
+	for range 1500 {
+		conn := dial(t, f)
+		conn.Write(message(1, "health", 1, "\x00"))
+		if conns = append(conns, conn); len(conns) > 40 {
+			if _, err := io.ReadFull(conns[len(conns)-40], make([]byte, 47)); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if took := time.Since(begun); took > 3*time.Second {
+		t.Errorf("it took %v", took)
+	}
+}
+
 func TestConnectionsAreBounded(t *testing.T) {
 	f, events := serving(t, Limits{Connections: 2, Open: 32, Bytes: 1 << 20})
 	for range 2 {
