Answers that go missing or break a link cost fewer retrievals

Checked by a probe that prints each dispatch's end and each final answer; pauses inside 4,185 answers that came in several reads were all under 5 ms, so 0.25 s (one lost segment) is enough for upstream.stallMost. Ruled out: members (none suspect), rooms (open), core (0.2 s in the busiest second). Changes: router.pick dials one more link from three open on the least used; control.afford asks no budget after a broken connection; control.rethink sends what is overdue a second time while answers go missing (overdue, mute). Also in it: rooms scaled by the routers that answers show to be at work (sharing), measured next. To make room the wire's subscription and streams moved to the adapter (host), as they are its protocol's chores. Tests: TestLimits (spread over links), TestBreaksCostNoBudget, TestOverdue, TestSharing.

--- a/control/control.go
+++ b/control/control.go
@@ -2,9 +2,8 @@
 //
 // How to call it: New makes one router. Where says where to send a retrieval (or not yet, or never), After
 // what to do once a dispatch has ended, Wait how long to wait before asking Where again. The facts come by
-// Listed, ListFailed, Purged, Departed, Streaming, Probed and Tick. The interface's types are in types.go,
-// the reasons in docs/design.md. A router shares nothing, reads no clock and is not safe for use by two
-// goroutines at once.
+// Listed, Purged, Departed, Probed and Tick. The interface's types are in types.go, the reasons in
+// docs/design.md. A router shares nothing, reads no clock and is not safe for use by two goroutines at once.
 package control
 
 import (
@@ -52,7 +51,11 @@
 	roomDown     = 0.08 // part lost by each late one
 	roomCheap    = 0.7  // part of the room for what earns least for its bytes
 	adviceShare  = 0.2  // of the due time after which a dismissed client is to come back, at least
-	guardMargin  = 0.6  // part of a cold budget that is used: weights are rough, and chance needs room
+	sharingSpan  = 2 * second
+	sharingLeast = 20. // dispatches in hand beside those answered, over the span, that tell of the sharers
+	muteFrom     = 1.5 // answers gone missing lately from which a second dispatch is sent to what is overdue
+	overdueShare = 0.6 // of the due time after which it is
+	guardMargin  = 0.6 // part of a cold budget that is used: weights are rough, and chance needs room
 )
 
 // blame is what an outcome counts against the cache and against the source.
@@ -104,7 +107,7 @@
 		t.arrived, t.entry = now, r.note(now, t)
 	}
 	switch {
-	case t.done || t.streaming:
+	case t.done:
 		return Decision{}
 	case t.out > 0:
 		return r.rethink(now, t)
@@ -123,8 +126,8 @@
 	r.judge(now, t, d, o)
 	switch t.done = t.done || o.Closed; {
 	case t.done:
-		return r.callOff(t, -1)
-	case t.out > 0 || t.streaming:
+		return r.callOff(t)
+	case t.out > 0:
 		return Decision{}
 	}
 	return r.next(now, t)
@@ -133,7 +136,7 @@
 // Wait says how long to wait before asking Where again; 0 is until an outcome.
 func (r *Router) Wait(_ int64, t *Retrieval) int64 {
 	switch {
-	case t.done || t.streaming:
+	case t.done:
 		return 0
 	case t.out > 0:
 		return period
@@ -142,21 +145,12 @@
 }
 
 // Departed tells that a retrieval's client left, or that it ended otherwise; dispatches may still be out.
-func (r *Router) Departed(_ int64, t *Retrieval) { t.done = true }
-
-// Streaming tells that a dispatch's answer has started: it is the client's now, the others are called off.
-func (r *Router) Streaming(now int64, t *Retrieval, number int) Decision {
-	t.streaming = true
-	if number >= 0 && number < len(t.dispatches) {
-		t.dispatches[number].cache.heard = now
-	}
-	return r.callOff(t, number)
-}
+func (r *Router) Departed(_ int64, t *Retrieval) Decision { t.done = true; return r.callOff(t) }
 
 // callOff ends what else of a finished retrieval is out.
-func (r *Router) callOff(t *Retrieval, but int) (d Decision) {
+func (r *Router) callOff(t *Retrieval) (d Decision) {
 	for i, other := range t.dispatches {
-		if !other.ended && i != but && get(r.set, "cancel", false) {
+		if !other.ended && get(r.set, "cancel", false) {
 			d.Cancel = append(d.Cancel, i)
 		}
 	}
@@ -179,8 +173,7 @@
 	return r.giveUp(now, t)
 }
 
-// unwrittenMost is until when a retrieval may stay without a dispatch that came whole to a cache: given up on
-// later than at half its time, the client could have asked elsewhere long before.
+// unwrittenMost is until when a retrieval may stay without a dispatch that came whole to a cache.
 func (t *Retrieval) unwrittenMost() int64 {
 	for _, d := range t.dispatches {
 		if d.mayHaveRun() || d.result == Full || d.result == Missing {
@@ -191,16 +184,15 @@
 }
 
 // room keeps what is in hand to what comes in time, learned from how much does: likely hits by the cache's
-// link, likely fills by the location's. Beyond that all get late together, the clients come again, and the
-// jam outlives its cause. What earns least for its sending time goes first, and clients' repeats: most are
-// late already, and took the place of what was not. It covers jumps in traffic, crowding by large, hot or
-// once-only objects, empty caches, purges, a slow source; it hurts where answers are late for a moment only.
+// link, likely fills by the location's. Beyond that all get late together, and the jam outlives its cause.
+// What earns least for its sending time goes first, and clients' repeats: most are late already. It covers
+// jumps in traffic, crowding, empty caches, a slow source; it hurts where answers are late for a moment only.
 func (r *Router) room(now int64, t *Retrieval, cache *member) bool {
 	load, kind := r.load(now, cache), t.kind(now)
 	limit := r.rooms[kind]
 	if kind > 0 {
 		_, kinds, units := inHand(now, r.caches)
-		load = kinds[kind] * r.sharers(nil) / units
+		load = kinds[kind] * r.sharing() / units
 	}
 	best := r.most(func(p *product) float64 { return p.payoff / p.sending })
 	for _, cheap := range []bool{t.Repeat, t.product.payoff/r.sendingTime(t) < best/2} {
@@ -228,7 +220,16 @@
 func (r *Router) load(now int64, m *member) float64 {
 	own, _, size := inHand(now, []*member{m})
 	out, _, units := inHand(now, r.caches)
-	return (own + out*r.sharers(nil)/units) / (size/r.sharers(nil) + 1)
+	return (own + out*r.sharing()/units) / (size/r.sharing() + 1)
+}
+
+// sharing is how many routers like this one send to the location's caches now, by what answers tell is in
+// hand there. While others are down it has their traffic, and counted that twice.
+func (r *Router) sharing() float64 {
+	if r.ours < sharingLeast {
+		return r.sharers(nil)
+	}
+	return max(1, min(r.theirs/r.ours, r.sharers(nil)))
 }
 
 // inHand is what is out at some caches and may be in time, in all and by kind, and their size. What is late
@@ -246,13 +247,12 @@
 }
 
 // afford draws a further dispatch from what first ones have put aside, by payoff. Without this bound a jam
-// feeds on itself: what is turned away comes again and crowds out what would be in time. It covers any cause
-// of widespread failure; it hurts where one cache of few fails and more could be saved elsewhere.
+// feeds on itself. It hurts where one cache of few fails and more could be saved elsewhere.
 func (r *Router) afford(t *Retrieval) bool {
 	switch n := len(t.dispatches); {
 	case n == 0:
 		r.spare = min(r.spare+furtherShare*t.product.payoff/r.most(payoff), furtherMost)
-	case t.dispatches[n-1].result == Missing: // it cost next to nothing
+	case n < 3 && slices.Contains([]Result{Missing, Cut, Broken}, t.dispatches[n-1].result): // no sign of a jam
 	case r.spare < 1:
 		return false
 	default:
@@ -269,7 +269,7 @@
 		if d.ended {
 			continue
 		}
-		if r.check(now, d.cache); !d.stuck(now, d.cache) && !d.stuck(now, d.source) {
+		if r.check(now, d.cache); !d.stuck(now, d.cache) && !d.stuck(now, d.source) && !r.overdue(now, t, d) {
 			return Decision{}
 		}
 		stuck.Cancel = append(stuck.Cancel, i)
@@ -286,6 +286,13 @@
 	return Decision{}
 }
 
+// overdue tells whether a dispatch may have lost its answer, while a second one can still be in time. Only
+// where answers go missing at members that serve others well: on other days what is slow is only large.
+func (r *Router) overdue(now int64, t *Retrieval, d *dispatch) bool {
+	return fade(r.mute, now-r.muteAt, keepSpan) > muteFrom && get(r.set, "dispatches.together", false) &&
+		float64(now-d.sent) > overdueShare*float64(r.dueIn(t))
+}
+
 // stuck tells whether a dispatch waits for a suspect. A trial gets its time, else it teaches nothing.
 func (d *dispatch) stuck(now int64, m *member) bool {
 	return m != nil && m.suspect && (d.trial != m || now-d.sent > trialFirst)
@@ -333,7 +340,7 @@
 	case !get(r.set, "advice", false):
 		return Decision{Verdict: Dismiss}
 	}
-	// Soon enough to be in time, and spread, so that those turned away together don't come back together.
+	// Soon enough to be in time, and spread: those turned away together must not come back together.
 	wait := int64(adviceShare * (1 + r.chance()) * float64(p.due))
 	return Decision{Verdict: Dismiss, Advice: min(wait, get(r.set, "advice.most", int64(0)))}
 }
@@ -349,8 +356,7 @@
 	slices.SortStableFunc(ranked[:min(spread, len(ranked))], func(a, b *member) int {
 		return cmp.Compare(r.load(now, a), r.load(now, b))
 	})
-	// Where the home has no room, another cache with plenty fills the object, if there is room for fills:
-	// one hot or large object crowded its caches while the others had room.
+	// Where the home has no room, another cache with plenty fills the object, if there is room for fills.
 	t.away = false
 	if cache = r.pick(now, t, ranked); cache != nil && t.entry.servedUntil > now && !r.room(now, t, cache) {
 		roomy := slices.DeleteFunc(ranked, func(m *member) bool { return r.load(now, m) >= r.rooms[0]/2 })
@@ -414,8 +420,7 @@
 	}
 	out.Source = source.ID
 	if !t.product.neverKept && !t.Write {
-		// While fills are tight, and fetches come in time no better, a parent is first asked for what it holds:
-		// what waited for a slow origin took the room of what the parents had.
+		// While fills are tight, and fetches come in time no better, a parent is first asked for what it holds.
 		out.Held = d.kind == fills && r.tight[fills] && r.rooms[fetches] < r.rooms[fills] && source != r.origin
 		out.Join = get(r.set, "joins", false)
 		out.Age, out.Renew = r.age(now, t)
@@ -538,11 +543,8 @@
 	}
 }
 
-// Listed gives the list of members, whole or changes to it; last marks the list as the router last had it.
-func (r *Router) Listed(now int64, lines []Listing, whole, last bool) {
-	if !last && r.asked {
-		r.subscribed = true
-	}
+// Listed gives the list of members, whole or changes to it.
+func (r *Router) Listed(now int64, lines []Listing, whole bool) {
 	for _, m := range r.members {
 		m.listed = m.listed && !whole
 	}
@@ -581,15 +583,8 @@
 	}
 }
 
-// ListFailed tells that asking for the list failed or the subscription broke; the next tick asks again.
-func (r *Router) ListFailed(now int64) { r.subscribed, r.asked, r.askAt = false, false, now+second/2 }
-
 // Tick does the periodic work and says when to come again.
-func (r *Router) Tick(now int64) (Chores, int64) {
-	var chores Chores
-	if get(r.set, "list.mode", "push") == "ask" && !r.subscribed && !r.asked && now >= r.askAt {
-		r.asked, chores.Subscribe = true, true
-	}
+func (r *Router) Tick(now int64) (probe []uint32, again int64) {
 	for name, purged := range r.purges {
 		if now > purged+get(r.set, "purge.takes", 10*second)+second/2 {
 			delete(r.purges, name) // all caches and parents have dropped older copies by themselves
@@ -599,10 +594,10 @@
 		r.check(now, m)
 		if m.suspect && !m.trial && now >= m.trialAt && get(r.set, "probe", false) {
 			m.trial = true
-			chores.Probe = append(chores.Probe, m.ID)
+			probe = append(probe, m.ID)
 		}
 	}
-	return chores, period
+	return probe, period
 }
 
 // Probed tells how a probe ended.
@@ -632,6 +627,15 @@
 	p, kind := t.product, d.kind
 	t.missed = t.missed || o.Result == Missing && kind == fills
 	inTime := o.Spent <= r.dueIn(t)
+	place := slices.Index(get(r.set, "report.fields", []string(nil)), "inHand")
+	if place >= 0 && place < len(o.Load) && d.cache.Location == r.home {
+		r.theirs = fade(r.theirs, now-r.sharedAt, sharingSpan) + max(o.Load[place]-1, 0)
+		r.ours = fade(r.ours, now-r.sharedAt, sharingSpan) + float64(len(d.cache.out)-1)
+		r.sharedAt = now
+	}
+	if o.Result == Late && !d.cache.suspect && (d.source == nil || !d.source.suspect) && !r.tight[kind] {
+		r.mute, r.muteAt = fade(r.mute, now-r.muteAt, keepSpan)+1, now
+	}
 	good, bad := [2]float64{}, blame[o.Result] // of the cache, of the source
 	switch {
 	case o.Result == Good || o.Result == Missing:
@@ -665,10 +669,8 @@
 	if o.Result == Good {
 		p.seen = min(p.seen+1, 200)
 		p.answer += (float64(o.Spent)/1e9 - p.answer) / p.seen
-		if sent := r.sizedTime(t); sent > 0 {
-			p.sending += (sent - p.sending) / p.seen
-		} else if o.Note <= 1 {
-			p.sending += (float64(o.Spent)/1e9 - p.sending) / p.seen
+		if sent := r.sizedTime(t); sent > 0 || o.Note <= 1 {
+			p.sending += (cmp.Or(sent, float64(o.Spent)/1e9) - p.sending) / p.seen
 		}
 		t.entry.servedUntil = now + keepSpan
 		if e := t.entry; o.Note == 2 || o.Note == 3 {
@@ -699,11 +701,9 @@
 	}
 }
 
-// check makes a member suspect by its failures lately or by its silence: a member that hangs, is cut off,
-// gone without word or stands still shows in the same way, whatever lies behind it. What its peers show at
-// the same time is no evidence against it: in a jam all looked suspect in turn and objects lost their homes.
-// Half a tier may fail at once and still stand out from the rest; twice the peers' mean hid that. It hurts
-// where most fail; then nobody is suspect and further dispatches must find the rest.
+// check makes a member suspect by its failures lately or by its silence, whatever lies behind them. What its
+// peers show then is no evidence: in a jam all looked suspect in turn and objects lost their homes. Half a
+// tier may fail at once and still stand out; where most fail, further dispatches must find the rest.
 func (r *Router) check(now int64, m *member) {
 	if m.suspect || m == r.origin {
 		return
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -113,11 +113,11 @@
 		t.Run(phase, func(t *testing.T) {
 			r := newRouter(t, nil)
 			if phase == "left out" {
-				r.Listed(start, []Listing{fleet[1], fleet[3], fleet[4]}, true, false)
+				r.Listed(start, []Listing{fleet[1], fleet[3], fleet[4]}, true)
 			} else {
 				cache, parent := fleet[0], fleet[2]
 				cache.Phase, parent.Phase = phase, phase
-				r.Listed(start, []Listing{cache, parent}, false, false)
+				r.Listed(start, []Listing{cache, parent}, false)
 			}
 			for i := range 50 {
 				d := r.Where(start+second, ask("harmless", fmt.Sprint(i)))
@@ -146,7 +146,7 @@
 			r := newRouter(t, nil)
 			line := fleet[c.cold]
 			line.Started = start
-			r.Listed(start, []Listing{line}, false, false)
+			r.Listed(start, []Listing{line}, false)
 			now, spent := start+c.since, 0.
 			for i := range 200 {
 				ret := ask("harmless", fmt.Sprint(i))
@@ -206,11 +206,28 @@
 	}
 }
 
+// What a connection took with it is sent again at once; the budget is for what may be a jam.
+func TestBreaksCostNoBudget(t *testing.T) {
+	for _, c := range []struct {
+		result Result
+		want   Verdict
+	}{{Broken, Send}, {Cut, Send}, {Missing, Send}, {Full, Dismiss}, {Faulty, Dismiss}, {Unreached, Dismiss}} {
+		t.Run(fmt.Sprint(c.result), func(t *testing.T) {
+			r, ret := newRouter(t, nil), ask("harmless", "a")
+			r.Where(start, ret)
+			r.spare = 0
+			if d := r.After(start, ret, Outcome{Result: c.result}); d.Verdict != c.want {
+				t.Errorf("verdict %v, want %v", d.Verdict, c.want)
+			}
+		})
+	}
+}
+
 func TestHeldEndsInTime(t *testing.T) {
 	for _, left := range []int64{second / 100, 83 * second / 1000, 400 * second / 1000, 5 * second} {
 		t.Run(fmt.Sprint(left), func(t *testing.T) {
 			r := newRouter(t, nil)
-			r.Listed(start, nil, true, false)
+			r.Listed(start, nil, true)
 			ret, now := ask("harmless", "a"), start
 			ret.HardStop = now + left
 			d := r.Where(now, ret)
@@ -538,7 +555,7 @@
 	for n := range 5000 {
 		now := start + int64(n)*second/10
 		lines := append([]Listing{{ID: uint32(100 + n), Location: "here", Kind: "cache", Phase: "ready", Units: 5}}, fleet...)
-		r.Listed(now, lines, true, false)
+		r.Listed(now, lines, true)
 		ret := ask("harmless", fmt.Sprint(n))
 		if d := r.Where(now, ret); d.Verdict != Send {
 			t.Fatalf("verdict %v", d.Verdict)
@@ -571,3 +588,68 @@
 		})
 	}
 }
+
+// With the location's other routers down, this one has their traffic: counted double, it dismissed half of it.
+func TestSharing(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		told func(own float64) []float64
+		want float64
+	}{{"nothing told", func(float64) []float64 { return nil }, 2},
+		{"all is this router's", func(own float64) []float64 { return []float64{0, own} }, 1},
+		{"another one sends as much", func(own float64) []float64 { return []float64{0, 2*own - 1} }, 2},
+		{"more than there are routers", func(own float64) []float64 { return []float64{0, 9 * own} }, 2},
+		{"a report of nothing", func(float64) []float64 { return []float64{0, 0} }, 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRouter(t, Settings{"report.fields": []string{"x1", "inHand"}})
+			r.rooms = [3]float64{roomMost, roomMost, roomMost}
+			var out []*Retrieval
+			for n := range 20 {
+				ret := ask("harmless", fmt.Sprint(n))
+				if d := r.Where(start, ret); d.Verdict == Send {
+					out = append(out, ret)
+				}
+			}
+			for _, ret := range out {
+				own := float64(len(ret.dispatches[0].cache.out))
+				r.After(start+second/10, ret, Outcome{Result: Good, Closed: true, Load: c.told(own)})
+			}
+			if got := r.sharing(); math.Abs(got-c.want) > 0.01 {
+				t.Errorf("%d answers: %v, want %v", len(out), got, c.want)
+			}
+		})
+	}
+}
+
+// Answers that never come show only at the end of the client's time: once some did not, what is overdue is sent again.
+func TestOverdue(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		missing int
+		waited  int64 // in tenths of the due time
+		change  Settings
+		want    Verdict
+	}{{"answers go missing", 2, 7, nil, Send}, {"none has", 0, 7, nil, Wait}, {"not yet overdue", 2, 5, nil, Wait},
+		{"two together are not allowed", 2, 7, Settings{"dispatches.together": false}, Wait}} {
+		t.Run(c.name, func(t *testing.T) {
+			r, now := newRouter(t, c.change), start
+			for n := range 10 + c.missing {
+				ret := ask("harmless", fmt.Sprint(n))
+				if d := r.Where(now, ret); d.Verdict != Send {
+					t.Fatalf("verdict %v", d.Verdict)
+				}
+				o := Outcome{Result: Good, Spent: second / 10, Closed: true}
+				if n >= 10 {
+					o.Result, o.Spent = Late, 5*second
+				}
+				r.After(now, ret, o)
+			}
+			ret := ask("harmless", "x")
+			r.Where(now, ret)
+			now += r.dueIn(ret) * c.waited / 10
+			if d := r.Where(now, ret); d.Verdict != c.want || d.Verdict == Send && d.Dispatch.Cache == ret.dispatches[0].cache.ID {
+				t.Errorf("verdict %v, want %v", d.Verdict, c.want)
+			}
+		})
+	}
+}
--- a/control/helpers_test.go
+++ b/control/helpers_test.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.Listed(start, fleet, true, true)
+	r.Listed(start, fleet, true)
 	return r
 }
 
--- a/control/types.go
+++ b/control/types.go
@@ -97,12 +97,6 @@
 	Load   []float64 // the load report, in the order of the setting report.fields; nil if none
 }
 
-// Chores is what a router wants done after a periodic tick.
-type Chores struct {
-	Probe     []uint32
-	Subscribe bool
-}
-
 // From here on: what the module keeps.
 
 type product struct {
@@ -176,7 +170,6 @@
 	arrived    int64
 	dispatches []*dispatch
 	out        int
-	streaming  bool
 	done       bool
 	missed     bool // its source lacks the object
 	away       bool // its home has no room: another cache is to fill it
@@ -184,24 +177,26 @@
 
 // Router is one router's decisions.
 type Router struct {
-	set               Settings
-	log               func(string)
-	seed              uint64
-	draws             uint32
-	started           int64
-	home              string
-	products          map[string]*product
-	members           map[uint32]*member
-	caches, parents   []*member // ready, of the own location; ready, anywhere
-	origin            *member
-	table             map[entryKey]*entry
-	live, ghosts      *list.List
-	total             float64 // all requests, decayed over the window
-	totalAt           int64
-	purges            map[string]int64 // told purges by object, and by group under its number
-	subscribed, asked bool
-	askAt             int64
-	tight             [3]bool
-	rooms             [3]float64 // in hand that comes in time, for the caches' size, by kind
-	spare             float64    // further dispatches put aside
+	set             Settings
+	log             func(string)
+	seed            uint64
+	draws           uint32
+	started         int64
+	home            string
+	products        map[string]*product
+	members         map[uint32]*member
+	caches, parents []*member // ready, of the own location; ready, anywhere
+	origin          *member
+	table           map[entryKey]*entry
+	live, ghosts    *list.List
+	total           float64 // all requests, decayed over the window
+	totalAt         int64
+	purges          map[string]int64 // told purges by object, and by group under its number
+	theirs, ours    float64          // in hand at caches, as told and as known, when answers came; fading
+	sharedAt        int64
+	mute            float64 // answers that went missing; fading
+	muteAt          int64
+	tight           [3]bool
+	rooms           [3]float64 // in hand that comes in time, for the caches' size, by kind
+	spare           float64    // further dispatches put aside
 }
--- a/host/host.go
+++ b/host/host.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -30,6 +32,9 @@
 	due      int64 // when the module wants to be asked again; 0 is not
 }
 
+// askAgain is how long after a failed subscription the next one is tried.
+const askAgain = int64(5e8)
+
 // instance is one router and what the adapter holds for it.
 type instance struct {
 	name   string
@@ -37,6 +42,8 @@
 	taken  map[string]*hand
 	due    due.Order[*hand]
 	armed  int64 // when the next wake-up for a due time comes; 0 if none is set
+	asks   bool  // changes of the list come only to who subscribed
+	askAt  int64 // when that is due
 }
 
 // Host is all instances of one process.
@@ -101,8 +108,9 @@
 			if err != nil {
 				return err
 			}
-			h.cancel(in, t, in.router.Streaming(now, &t.Retrieval, int(n)).Cancel)
-			h.plan(now, in, t)
+			// It is the client's now; the others are called off.
+			others := in.router.Departed(now, &t.Retrieval).Cancel
+			h.cancel(in, t, slices.DeleteFunc(others, func(other int) bool { return other == int(n) }))
 		}
 	case "GONE":
 		if t := in.taken[event.Fields[1]]; t != nil {
@@ -147,7 +155,7 @@
 	if err != nil {
 		return err
 	}
-	in := &instance{name: name, taken: map[string]*hand{}}
+	in := &instance{name: name, taken: map[string]*hand{}, asks: told["list.mode"] == "ask"}
 	h.instances[name] = in
 	in.router, err = control.New(now, seed, told, func(line string) { h.out.Line("PRINT", name, line) })
 	if err != nil {
@@ -160,11 +168,12 @@
 
 // tick does the periodic work and sets the one periodic timer again.
 func (h *Host) tick(now int64, in *instance) {
-	chores, again := in.router.Tick(now)
-	for _, id := range chores.Probe {
+	probe, again := in.router.Tick(now)
+	for _, id := range probe {
 		h.out.Line("INSPECT", in.name, strconv.FormatUint(uint64(id), 10))
 	}
-	if chores.Subscribe {
+	if in.asks && now >= in.askAt {
+		in.askAt = math.MaxInt64
 		h.out.Line("SUBSCRIBE", in.name, "1")
 	}
 	h.out.Line("WAKE_ME", in.name, wire.Seconds(again), periodic)
@@ -172,7 +181,7 @@
 
 func (h *Host) list(now int64, in *instance, event wire.Event) error {
 	if event.Fields[1] == "failed" {
-		in.router.ListFailed(now)
+		in.askAt = now + askAgain
 		return nil
 	}
 	lines := make([]control.Listing, len(event.Items))
@@ -190,7 +199,7 @@
 		lines[i] = control.Listing{ID: uint32(id), Location: item.Fields[1], Kind: item.Fields[2], Cell: cell,
 			Phase: item.Fields[4], Units: units, Started: started}
 	}
-	in.router.Listed(now, lines, event.Fields[1] != "delta", event.Fields[1] == "cached")
+	in.router.Listed(now, lines, event.Fields[1] != "delta")
 	return nil
 }
 
--- a/router/links.go
+++ b/router/links.go
@@ -9,8 +9,14 @@
 	"tealpath/control"
 )
 
-// linksMost is how many links one member has beside those that carry all they may.
-const linksMost = 4
+const (
+	// linksMost is how many links one member has beside those that carry all they may.
+	linksMost = 4
+
+	// shareFrom is how much is open on a member's least used link from which it gets one more: one spoilt answer
+	// takes all with it that is open on its link.
+	shareFrom = 3
+)
 
 // member is one instance of the list.
 type member struct {
@@ -85,10 +91,10 @@
 			best = l
 		}
 	}
-	if best != nil {
+	switch spent := len(m.links)-full >= linksMost || len(r.links) >= r.limits.Links; {
+	case best != nil && (spent || len(best.open) < shareFrom):
 		return best
-	}
-	if len(m.links)-full >= linksMost || len(r.links) >= r.limits.Links {
+	case spent:
 		return quiet
 	}
 	r.linked++
@@ -97,6 +103,9 @@
 	m.links = append(m.links, l)
 	r.links[l.id] = l
 	r.do(Dial{Link: l.id, Address: l.address, Within: r.dialWithin})
+	if best != nil && best.up {
+		return best // the new one is for what follows
+	}
 	return l
 }
 
@@ -257,7 +266,7 @@
 	for _, name := range sortedKeys(r.members) {
 		lines = append(lines, r.members[name].Listing.Listing)
 	}
-	r.decide.Listed(r.now, lines, true, false)
+	r.decide.Listed(r.now, lines, true)
 	r.withdraw(func(d *dispatch) bool {
 		return d.cache.Phase != "ready" || d.source != nil && d.source.Phase != "ready"
 	})
--- a/router/router.go
+++ b/router/router.go
@@ -107,9 +107,9 @@
 	for _, stop := range setting(set, "product.hardStop", []int64(nil)) {
 		r.longest = max(r.longest, stop)
 	}
-	// The journal service tells of changes by itself, and a sign of life tells nothing of how a member serves.
+	// A sign of life tells nothing of how a member serves.
 	set = maps.Clone(set)
-	set["probe"], set["list.mode"] = false, "push"
+	set["probe"] = false
 	var err error
 	r.decide, err = control.New(now, seed, set, r.log)
 	return r, err
@@ -429,7 +429,7 @@
 // tick does the periodic work.
 func (r *Router) tick() {
 	r.ticking = r.now + tickAfterFault
-	_, again := r.decide.Tick(r.now) // without probes and subscriptions there are no chores
+	_, again := r.decide.Tick(r.now) // without probes there are no chores
 	r.ticking = r.now + again
 	r.sweep()
 }
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -358,6 +358,21 @@
 			t.Errorf("%d links for 3 at 2 a link", len(p.links))
 		}
 	})
+	t.Run("what is open is spread over links: one spoilt answer takes its link's with it", func(t *testing.T) {
+		p := newPlay(t, nil)
+		for seq := range int32(12) {
+			p.ask(seq, map[string]string{"item": object})
+			p.up()
+		}
+		for id, l := range p.Router.links {
+			if len(l.open) > shareFrom {
+				t.Errorf("%d open on link %d of %d", len(l.open), id, len(p.links))
+			}
+		}
+		if len(p.links) < 2 || p.Hands() < 2*shareFrom-1 {
+			t.Errorf("%d links for %d in hand", len(p.links), p.Hands())
+		}
+	})
 	t.Run("links to one member", func(t *testing.T) {
 		p := newPlay(t, nil)
 		for seq := range int32(8) {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -149,9 +149,9 @@
 	group.Wait()
 }
 
-// stallMost is for how long an answer that has begun may stand still. One that stops short held up all that was
+// stallMost is for how long an answer that has begun may stand still, a lost segment included. One that stops short held up all that was
 // asked on its link, to the end of its time.
-const stallMost = 500 * time.Millisecond
+const stallMost = 250 * time.Millisecond
 
 // stalling ends a read inside an answer that brings nothing for too long; between answers it waits.
 type stalling struct {
