--- a/front/front.go
+++ b/front/front.go
@@ -258,7 +258,8 @@
 	}
 }
 
-// Flushed tells whether every answer has been written.
+// Flushed tells whether every answer has been written, and nothing has come that is not taken in: on a core that is
+// shared it may wait to be read when the router ends.
 func (f *Front) Flushed() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -541,7 +542,7 @@
 func (c *client) flushed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.queue) == 0 && !c.writing
+	return len(c.queue) == 0 && !c.writing && (c.ending || !c.reading && !pending(c.conn))
 }
 
 func (c *client) signal() {
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -182,6 +182,25 @@
 	}
 }
 
+// A router that ends must not leave a request behind that has come in part already.
+func TestFlushed(t *testing.T) {
+	f, events := serving(t, small)
+	conn, call := dial(t, f), message(1, "call", 5, "\x00")
+	conn.Write(call[:9])
+	time.Sleep(50 * time.Millisecond)
+	if f.Flushed() {
+		t.Error("flushed with half a request")
+	}
+	conn.Write(call[9:])
+	next(t, events)
+	f.Answer(router.Answer{Client: 1, Seq: 5})
+	for end := time.Now().Add(patience); !f.Flushed(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not flushed with all answered")
+		}
+	}
+}
+
 // What no usual client sends is answered or closed on soon, readably, and whatever else came on that connection
 // is not served. The usual client beside it keeps its idle connection.
 func TestBadClients(t *testing.T) {
