--- a/control/control.go
+++ b/control/control.go
@@ -52,10 +52,11 @@
 	roomCheap    = 0.7  // part of the room for what earns least for its bytes
 	adviceShare  = 0.2  // of the due time after which a dismissed client is to come back, at least
 	sharingSpan  = 2 * second
-	sharingLeast = 20. // dispatches in hand beside those answered, over the span, that tell of the sharers
-	muteFrom     = 1.5 // answers gone missing lately from which a second dispatch is sent to what is overdue
-	overdueShare = 0.6 // of the due time after which it is
-	guardMargin  = 0.6 // part of a cold budget that is used: weights are rough, and chance needs room
+	sharingLeast = 20.  // dispatches in hand beside those answered, over the span, that tell of the sharers
+	muteFrom     = 1.5  // answers gone missing lately from which a second dispatch is sent to what is overdue
+	overdueShare = 0.6  // of the due time after which it is
+	wellShare    = 0.03 // failures for each success up to which a member is well
+	guardMargin  = 0.6  // part of a cold budget that is used: weights are rough, and chance needs room
 )
 
 // blame is what an outcome counts against the cache and against the source.
@@ -286,13 +287,15 @@
 	return Decision{}
 }
 
-// overdue tells whether a dispatch may have lost its answer, while a second one can still be in time. Only
-// where answers go missing at members that serve others well: on other days what is slow is only large.
+// overdue tells whether a dispatch may have lost its answer, as some do of late, and a second can be in time.
 func (r *Router) overdue(now int64, t *Retrieval, d *dispatch) bool {
 	return fade(r.mute, now-r.muteAt, keepSpan) > muteFrom && get(r.set, "dispatches.together", false) &&
-		float64(now-d.sent) > overdueShare*float64(r.dueIn(t))
+		d.cache.well() && d.source.well() && float64(now-d.sent) > overdueShare*float64(r.dueIn(t))
 }
 
+// well tells whether next to nothing has failed at a member lately: second dispatches would feed a jam.
+func (m *member) well() bool { return m == nil || !m.suspect && m.bad < wellShare*m.good }
+
 // stuck tells whether a dispatch waits for a suspect. A trial gets its time, else it teaches nothing.
 func (d *dispatch) stuck(now int64, m *member) bool {
 	return m != nil && m.suspect && (d.trial != m || now-d.sent > trialFirst)
@@ -438,9 +441,8 @@
 	if e.age == 0 || now >= e.ageEnds {
 		r.setAge(now, t)
 	}
-	age = e.age
-	renew = r.scaled(now, e)*float64(age)/1e9 >= renewFrom
-	if age == forever {
+	renew = r.scaled(now, e)*float64(e.age)/1e9 >= renewFrom
+	if age = e.age; age == forever {
 		age = 0
 	}
 	// Rule 5: nothing older than the last told purge, at the sending. Never 0, which means the fresh time.
@@ -627,13 +629,12 @@
 	p, kind := t.product, d.kind
 	t.missed = t.missed || o.Result == Missing && kind == fills
 	inTime := o.Spent <= r.dueIn(t)
-	place := slices.Index(get(r.set, "report.fields", []string(nil)), "inHand")
-	if place >= 0 && place < len(o.Load) && d.cache.Location == r.home {
-		r.theirs = fade(r.theirs, now-r.sharedAt, sharingSpan) + max(o.Load[place]-1, 0)
+	if i := slices.Index(get(r.set, "report.fields", []string(nil)), "inHand"); i >= 0 && i < len(o.Load) {
+		r.theirs = fade(r.theirs, now-r.sharedAt, sharingSpan) + max(o.Load[i]-1, 0)
 		r.ours = fade(r.ours, now-r.sharedAt, sharingSpan) + float64(len(d.cache.out)-1)
 		r.sharedAt = now
 	}
-	if o.Result == Late && !d.cache.suspect && (d.source == nil || !d.source.suspect) && !r.tight[kind] {
+	if o.Result == Late && d.cache.well() && d.source.well() {
 		r.mute, r.muteAt = fade(r.mute, now-r.muteAt, keepSpan)+1, now
 	}
 	good, bad := [2]float64{}, blame[o.Result] // of the cache, of the source
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -630,16 +630,17 @@
 		change  Settings
 		want    Verdict
 	}{{"answers go missing", 2, 7, nil, Send}, {"none has", 0, 7, nil, Wait}, {"not yet overdue", 2, 5, nil, Wait},
+		{"much is late: a jam would feed on it", 60, 7, nil, Wait},
 		{"two together are not allowed", 2, 7, Settings{"dispatches.together": false}, Wait}} {
 		t.Run(c.name, func(t *testing.T) {
 			r, now := newRouter(t, c.change), start
-			for n := range 10 + c.missing {
+			for n := range 300 + c.missing {
 				ret := ask("harmless", fmt.Sprint(n))
 				if d := r.Where(now, ret); d.Verdict != Send {
 					t.Fatalf("verdict %v", d.Verdict)
 				}
 				o := Outcome{Result: Good, Spent: second / 10, Closed: true}
-				if n >= 10 {
+				if n >= 300 {
 					o.Result, o.Spent = Late, 5*second
 				}
 				r.After(now, ret, o)
