The last parent that is not suspect does not become so for being late in part

The log: one parent vanished at 9.5 s, and at 12 s the other was made suspect for 'failures 19.1 of 113.6', so that all fills went to the origin. Now only while another parent is not suspect. Also: SIGHUP while a router drains, in TestServe.

--- a/cmd/tealpath/main_test.go
+++ b/cmd/tealpath/main_test.go
@@ -371,6 +371,8 @@
 		held := c.call("dead000000000003", 250)
 		waitFor("path=dead000000000003")
 		syscall.Kill(os.Getpid(), syscall.SIGTERM)
+		time.Sleep(20 * time.Millisecond)
+		syscall.Kill(os.Getpid(), syscall.SIGHUP) // while it drains: read, and it drains on
 		c.want(held, dismissed)
 		time.Sleep(150 * time.Millisecond) // nothing is in hand, but clients still come
 		late := dial(t, address)
--- a/control/control.go
+++ b/control/control.go
@@ -224,8 +224,7 @@
 	return (own + out*r.sharing()/units) / (size/r.sharing() + 1)
 }
 
-// sharing is how many routers like this one send to the location's caches now, by what answers tell is in
-// hand there. While others are down it has their traffic, and counted that twice.
+// sharing is how many routers send to the location's caches now, by what answers tell is in hand there.
 func (r *Router) sharing() float64 {
 	if r.ours < sharingLeast {
 		return r.sharers(nil)
@@ -711,8 +710,10 @@
 	}
 	silent, good, bad := r.signs(now, m)
 	peers, sure := r.caches, badShare
-	if m.Location != r.home { // late with a quarter of hundreds a parent stayed in; it takes no homes with it
-		peers, sure = r.parents, badShare*max(badSure, min(1, 4/math.Sqrt(good+bad)))
+	if m.Location != r.home { // late with a quarter of hundreds a parent stayed in; the last one is to
+		if peers = r.parents; slices.ContainsFunc(peers, func(p *member) bool { return p != m && !p.suspect }) {
+			sure *= max(badSure, min(1, 4/math.Sqrt(good+bad)))
+		}
 	}
 	if silent < silentFrom && bad < badFrom {
 		return
