Slots of periodic duties are held under a majority's leases without a disk

Need: installations whose routers may talk want duties done by one instance each, without a lasting disk.

--- /dev/null
+++ b/fleet/duty/vote.go
@@ -0,0 +1,79 @@
+package duty
+
+// vote is the voter's side: it answers an Ask or a Take. The slot goes to one holder at a time, whatever numbers
+// say: that clause is what two holders can never pass.
+func (n *Node) vote(now int64, from Holder, m Message) (answers []Message) {
+	if now < n.mute && !n.fault.grantAtOnce {
+		return nil // who knows what was granted before the start
+	}
+	n.wake(now)
+	good := Message{Kind: Promise, Epoch: n.config.Voters.Epoch, Sent: m.Sent}
+	if m.Kind == Take {
+		good.Kind = Taken
+	}
+	bad := Message{Kind: Refuse, Epoch: n.config.Voters.Epoch, Sent: m.Sent}
+	own := n.config.Voters.Epoch
+	for _, i := range m.Items {
+		if i.Slot < 0 || i.Slot >= len(n.grants) {
+			continue
+		}
+		g := &n.grants[i.Slot]
+		held := now < g.until && g.holder != from
+		behind := i.Number < g.promised || i.Number == g.promised && g.promisedTo != from
+		if m.Kind == Ask {
+			// The floor is for numbers that were known when the silence ended: their promises are forgotten.
+			behind = behind || i.Number <= n.floor || i.Number <= g.number
+		}
+		behind = behind && !n.fault.reuseNumbers
+		if held || behind || m.Epoch != own && m.Epoch != own+1 {
+			no := Item{Slot: i.Slot, Number: max(g.promised, g.number, n.floor)}
+			if held {
+				no.Holder, no.Left = g.holder, g.until-now
+			}
+			bad.Items = append(bad.Items, no)
+			continue
+		}
+		g.promised, g.promisedTo = max(g.promised, i.Number), from
+		if m.Kind == Take {
+			g.holder, g.number, g.until = from, i.Number, now+n.config.Lease
+			n.Known(i.Number)
+		}
+		good.Items = append(good.Items, Item{Slot: i.Slot, Number: i.Number})
+	}
+	for _, a := range []Message{good, bad} {
+		if len(a.Items) > 0 {
+			answers = append(answers, a)
+		}
+	}
+	return answers
+}
+
+// wake ends the silence of a start. Numbers heard of until then are asked above of, as promises are forgotten.
+func (n *Node) wake(now int64) {
+	if n.floor == 0 && now >= n.mute {
+		n.floor = max(n.highest, 1)
+	}
+}
+
+// released takes back what a holder has given up. A take that is late by now is not to be accepted any more.
+func (n *Node) released(now int64, from Holder, m Message) {
+	for _, i := range m.Items {
+		if i.Slot < 0 || i.Slot >= len(n.grants) {
+			continue
+		}
+		if g := &n.grants[i.Slot]; g.holder == from && g.number == i.Number {
+			g.until = min(g.until, now)
+			g.promised, g.promisedTo = max(g.promised, i.Number+1), Holder{}
+		}
+		n.Known(i.Number)
+		h := &n.holds[i.Slot]
+		if h.held || h.number != 0 || n.leaving {
+			continue
+		}
+		h.busyUntil, h.freeSince, h.tryAt = 0, now, now
+		if i.Holder.Name != n.config.Self.Name {
+			h.tryAt = now + n.turn(i.Slot) // the one it is meant for comes first
+		}
+	}
+	n.attempt(now)
+}
