--- /dev/null
+++ b/cmd/tealpath/duties.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"tealpath/config"
+	"tealpath/fleet"
+	"tealpath/operator"
+	"tealpath/process"
+)
+
+func operatorFlag() []cli.Flag {
+	return []cli.Flag{&cli.StringFlag{Name: "operator", Usage: "the operator's `FILE`; without it nothing is shared with other instances"}}
+}
+
+// operatorFile loads and checks the operator's file if one is named.
+func operatorFile(cmd *cli.Command, c *config.Config) (*operator.File, error) {
+	path := cmd.String("operator")
+	if path == "" {
+		return nil, nil
+	}
+	file, err := operator.Load(path, c.Name)
+	if err != nil {
+		return nil, err
+	}
+	if err := process.Bind(file, c.Settings); err != nil {
+		return nil, fmt.Errorf("operator's file %s:\n%w", path, err)
+	}
+	return file, nil
+}
+
+// describe says in a line what a usable file means.
+func describe(path string, file *operator.File) string {
+	f := file.Fleet
+	if f == nil {
+		return fmt.Sprintf("operator's file %s is usable: instances share nothing", path)
+	}
+	probing := "nothing is probed"
+	if f.Probe != nil {
+		probing = fmt.Sprintf("members are probed every %s", time.Duration(f.Probe.Period))
+	}
+	return fmt.Sprintf("operator's file %s is usable: %d instances, %d voters of epoch %d, %d slots, lease %s, renewed every %s; %s",
+		path, len(f.Instances), len(f.Voters.Now), f.Voters.Epoch, f.Slots, time.Duration(f.Lease), time.Duration(f.Renewal), probing)
+}
+
+// duties asks a running instance who owns what.
+func duties(ctx context.Context, cmd *cli.Command) error {
+	if err := atMost(cmd, 0); err != nil {
+		return err
+	}
+	path := cmd.String("socket")
+	if path == "" && cmd.String("operator") != "" {
+		file, err := operator.Load(cmd.String("operator"), os.Getenv("LB_NAME"))
+		if err != nil {
+			return cli.Exit(err, exitUsage)
+		}
+		path = file.Socket
+	}
+	if path == "" {
+		return cli.Exit(errors.New("duties: name the socket by --socket, or by --operator a file that has one"), exitUsage)
+	}
+	var s fleet.Status
+	if err := operator.Ask(ctx, path, &s, "duties"); err != nil {
+		return cli.Exit(err, exitFailed)
+	}
+	if cmd.Bool("json") {
+		out := json.NewEncoder(os.Stdout)
+		out.SetIndent("", "  ")
+		return out.Encode(s)
+	}
+	show(s)
+	return nil
+}
+
+func show(s fleet.Status) {
+	majority := "a majority is reached"
+	if !s.Majority {
+		majority = "NO MAJORITY: nobody here acts"
+	}
+	fmt.Printf("%s, voters of epoch %d: %s; %s\n", s.Name, s.Epoch, strings.Join(s.Voters, " "), majority)
+	if s.Why != "" {
+		fmt.Println("why:", s.Why)
+	}
+	out := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', 0)
+	defer out.Flush()
+	fmt.Fprintln(out, "\nMEMBER\tSTATE\tSINCE\tADDRESS\tWEIGHT\tEPOCH")
+	for _, m := range s.Members {
+		state := m.State
+		if m.Doubled {
+			state += ", two starts"
+		}
+		fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%g\t%d\n", m.Name, state, span(m.SinceMS), m.Address, m.Weight, m.Epoch)
+	}
+	fmt.Fprintln(out, "\nSLOT\tOWNER\tNUMBER\tSINCE\tPLANNED\tWHY NOBODY")
+	for _, x := range s.Slots {
+		since := ""
+		if x.Own {
+			since = span(x.SinceMS)
+		}
+		fmt.Fprintf(out, "%d\t%s\t%x\t%s\t%s\t%s\n", x.Slot.Slot, cmp.Or(x.Holder, "-"), x.Number, since, x.Planned, x.Why)
+	}
+	fmt.Fprintf(out, "\n%d targets are probed, %d of them here; %d probes left out to spare cold ones, %d stale findings dropped\n",
+		s.Targets, s.OwnTargets, s.Skipped, s.Stale)
+}
+
+func span(ms int64) string {
+	return (time.Duration(ms) * time.Millisecond).Round(100 * time.Millisecond).String()
+}
--- a/cmd/tealpath/main.go
+++ b/cmd/tealpath/main.go
@@ -17,6 +17,7 @@
 	"github.com/urfave/cli/v3"
 
 	"tealpath/config"
+	"tealpath/operator"
 	"tealpath/process"
 )
 
@@ -61,9 +62,12 @@
 		},
 		Commands: []*cli.Command{
 			{Name: "serve", Usage: "serve clients as LB_NAME, LB_LISTEN and LB_CONFIG say, until SIGTERM",
-				OnUsageError: usage, Action: serve},
-			{Name: "check", Usage: "check a configuration file (that of LB_CONFIG if none is named)", ArgsUsage: "[FILE]",
-				OnUsageError: usage, Action: check},
+				OnUsageError: usage, Action: serve, Flags: operatorFlag()},
+			{Name: "check", Usage: "check a configuration file (that of LB_CONFIG if none is named) and an operator's file",
+				ArgsUsage: "[FILE]", OnUsageError: usage, Action: check, Flags: operatorFlag()},
+			{Name: "duties", Usage: "ask a running instance who owns which duties", OnUsageError: usage, Action: duties,
+				Flags: append(operatorFlag(), &cli.StringFlag{Name: "socket", Usage: "its Unix socket, instead of the file's"},
+					&cli.BoolFlag{Name: "json", Usage: "print all it says as JSON"})},
 			{Name: "version", Usage: "print the version", OnUsageError: usage, Action: func(_ context.Context, cmd *cli.Command) error {
 				if err := atMost(cmd, 0); err != nil {
 					return err
@@ -99,6 +103,10 @@
 	if err != nil {
 		return cli.Exit(err, exitUsage)
 	}
+	file, err := operatorFile(cmd, c)
+	if err != nil {
+		return cli.Exit(err, exitUsage)
+	}
 	leave, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	// Whoever reads the log must not hold the router up.
@@ -109,7 +117,14 @@
 	})
 	defer out.Close()
 	log := zerolog.New(out).With().Timestamp().Logger()
-	err = process.New(c, log).Run(ctx, leave.Done(), again, func() (*config.Config, error) { return c.Again(os.Getenv) })
+	err = process.New(c, file, log).Run(ctx, leave.Done(), again, func() (*config.Config, *operator.File, error) {
+		next, err := c.Again(os.Getenv)
+		if err != nil {
+			return nil, nil, err
+		}
+		file, err := operatorFile(cmd, next)
+		return next, file, err
+	})
 	switch {
 	case errors.Is(err, process.ErrConfig):
 		return cli.Exit(err, exitUsage)
@@ -129,13 +144,29 @@
 		}
 		return os.Getenv(name)
 	}
+	if cmd.String("operator") != "" && env("LB_CONFIG") == "" {
+		// Alone: without the settings it can't be said whether probes are allowed.
+		file, err := operator.Load(cmd.String("operator"), env("LB_NAME"))
+		if err != nil {
+			return cli.Exit(err, exitUsage)
+		}
+		fmt.Println(describe(cmd.String("operator"), file))
+		return nil
+	}
 	c, err := config.Load(env)
 	if err != nil {
 		return cli.Exit(err, exitUsage)
 	}
+	file, err := operatorFile(cmd, c)
+	if err != nil {
+		return cli.Exit(err, exitUsage)
+	}
 	if err := process.Check(c); err != nil {
 		return cli.Exit(err, exitUsage)
 	}
 	fmt.Printf("configuration of %s is usable: clients at %s, journal service at %s\n", c.Name, c.Listen, c.Journal)
+	if file != nil {
+		fmt.Println(describe(cmd.String("operator"), file))
+	}
 	return nil
 }
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,440 @@
+// Package fleet is what instances agree on, as one reducer: an event goes in, state changes, effects come out. It
+// joins who is there (member), who holds which slot (duty) and what is probed when (probe). It does no input or
+// output, reads no clock and is not safe for use by two goroutines at once. Times are whole nanoseconds of a clock
+// that goes on while the machine is suspended and never goes back.
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"tealpath/fleet/duty"
+	"tealpath/fleet/member"
+	"tealpath/fleet/probe"
+)
+
+// Bounds of what one message holds.
+const (
+	findingsMost = 512
+	loadMost     = 16
+)
+
+// Config is what an instance starts with.
+type Config struct {
+	Self     duty.Holder
+	Address  string // where it takes links
+	Weight   float64
+	Contacts []member.Contact // the instances of the file, the own one among them or not
+	Duty     duty.Config      // Self and Seed are filled in from here
+	Probe    *probe.Config    // nil: nothing is probed
+	Seed     uint64
+}
+
+// Finding is what a probe found.
+type Finding struct {
+	Target string    `cbor:"1,keyasint"`
+	Number uint64    `cbor:"2,keyasint"` // under which it was probed
+	Good   bool      `cbor:"3,keyasint"`
+	Load   []float64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Message is what instances send each other.
+type Message struct {
+	Entries  []member.Entry `cbor:"1,keyasint,omitempty"`
+	Highest  uint64         `cbor:"2,keyasint,omitempty"` // number known
+	Duty     *duty.Message  `cbor:"3,keyasint,omitempty"`
+	Findings []Finding      `cbor:"4,keyasint,omitempty"`
+}
+
+var decoding = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: duty.SlotsMost, MaxMapPairs: 64, MaxNestedLevels: 8,
+		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden}.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return mode
+}()
+
+// Encode gives a message's bytes (CBOR, RFC 8949).
+func (m Message) Encode() ([]byte, error) { return cbor.Marshal(m) }
+
+// Decode reads a message and checks its bounds.
+func Decode(raw []byte) (m Message, err error) {
+	if err := decoding.Unmarshal(raw, &m); err != nil {
+		return Message{}, err
+	}
+	switch {
+	case len(m.Entries) > member.EntriesMost+1:
+		return Message{}, fmt.Errorf("%d members", len(m.Entries))
+	case len(m.Findings) > findingsMost:
+		return Message{}, fmt.Errorf("%d findings", len(m.Findings))
+	case m.Duty != nil && (m.Duty.Kind < duty.Ask || m.Duty.Kind > duty.Release):
+		return Message{}, fmt.Errorf("kind %d", m.Duty.Kind)
+	}
+	for _, f := range m.Findings {
+		if len(f.Load) > loadMost {
+			return Message{}, errors.New("a load report too long")
+		}
+	}
+	return m, nil
+}
+
+// Event is something that came in.
+type Event any
+
+// Came is a message from another instance, whose name and start the link has proved.
+type Came struct {
+	From    duty.Holder
+	Message Message
+}
+
+// Listed is the list of targets as it is now.
+type Listed struct{ Targets []probe.Target }
+
+// Probed tells how a probe ended.
+type Probed struct{ Finding }
+
+// Due tells that it is time, or that it may be; Wall is the wall clock, ms since 1970.
+type Due struct{ Wall int64 }
+
+// Leaving tells that this instance is to end.
+type Leaving struct{}
+
+// Changed is a newer configuration. Contacts, weights and voters change in a running instance.
+type Changed struct {
+	Contacts []member.Contact
+	Weight   float64
+	Voters   duty.Voters
+}
+
+// Effect is what is to be done outside.
+type Effect any
+
+// Send wants a message sent to an instance; it may be lost.
+type Send struct {
+	To      string
+	Message Message
+}
+
+// Peer is an instance to which a link is to stand.
+type Peer struct{ Name, Address string }
+
+// Link wants links to these and to no others.
+type Link struct{ Peers []Peer }
+
+// Ask wants a target probed: written before Until by this clock, or not at all.
+type Ask struct{ probe.Probe }
+
+// Found tells the router what a probe found, here or elsewhere.
+type Found struct{ Finding }
+
+// Log wants a line logged, with the figures that caused it.
+type Log struct {
+	Line   string
+	Member string
+	Slots  []int
+	Number uint64
+	Why    string
+}
+
+// Timer wants Due at a time.
+type Timer struct{ At int64 }
+
+// Node is one instance.
+type Node struct {
+	config  Config
+	table   *member.Table
+	duty    *duty.Node
+	probe   *probe.Prober // nil: nothing is probed
+	effects []Effect
+	version uint64
+	linked  []Peer
+	seen    map[string]uint64 // highest number under which a target was probed, as told
+	stale   int64             // findings under a number older than one seen
+	found   []Finding         // to be told
+	reached bool
+	told    bool // whether it was ever told that there is or is no majority
+	doubled bool
+	leaving bool
+	started int64
+}
+
+// New makes a node.
+func New(now int64, c Config) (*Node, error) {
+	c.Duty.Self, c.Duty.Seed = c.Self, c.Seed
+	d, err := duty.New(now, c.Duty)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{config: c, duty: d, seen: map[string]uint64{}, started: now, table: member.New(now, member.Config{
+		Self: member.Entry{Name: c.Self.Name, Incarnation: c.Self.Incarnation, Address: c.Address, Weight: c.Weight,
+			Epoch: c.Duty.Voters.Epoch},
+		Contacts: c.Contacts, Interval: c.Duty.Renewal, Silence: c.Duty.Silence(), Seed: c.Seed})}
+	if c.Probe != nil {
+		if err := c.Probe.Check(); err != nil {
+			return nil, err
+		}
+		c.Probe.Slots, c.Probe.Drift = c.Duty.Slots, c.Duty.Drift
+		n.probe = probe.New(*c.Probe)
+	}
+	return n, nil
+}
+
+// Handle takes an event and returns what is to be done, in order; the slice is good until the next call.
+func (n *Node) Handle(now int64, e Event) []Effect {
+	clear(n.effects)
+	n.effects = n.effects[:0]
+	switch e := e.(type) {
+	case Came:
+		n.came(now, e)
+	case Listed:
+		if n.probe != nil {
+			n.probe.Targets(now, e.Targets)
+		}
+	case Probed:
+		n.probed(now, e)
+	case Due:
+		n.due(now, e.Wall)
+	case Leaving:
+		n.leave(now)
+	case Changed:
+		n.changed(now, e)
+	}
+	n.follow(now)
+	return n.effects
+}
+
+func (n *Node) do(e Effect) { n.effects = append(n.effects, e) }
+
+// came takes a message. A vote does not count from a name under which two may be running, nor is one given by such.
+func (n *Node) came(now int64, e Came) {
+	n.tell(n.table.Heard(now, e.Message.Entries))
+	for _, entry := range e.Message.Entries {
+		n.duty.HeardEpoch(entry.Name, entry.Epoch)
+	}
+	n.duty.Known(e.Message.Highest)
+	if m := e.Message.Duty; m != nil {
+		vote := m.Kind == duty.Promise || m.Kind == duty.Taken
+		asked := m.Kind == duty.Ask || m.Kind == duty.Take
+		switch {
+		case vote && n.table.Doubled(now, e.From.Name), asked && n.table.Doubled(now, n.config.Self.Name):
+		default:
+			n.duty.Receive(now, e.From, *m)
+		}
+	}
+	for _, f := range e.Message.Findings {
+		n.take(f)
+	}
+}
+
+// take takes a finding, unless somebody probed under a higher number before: its sender may have been frozen.
+func (n *Node) take(f Finding) {
+	if f.Number < n.seen[f.Target] {
+		n.stale++
+		return
+	}
+	const most = 1 << 14 // targets that peers may name
+	if _, known := n.seen[f.Target]; known || len(n.seen) < most {
+		n.seen[f.Target] = f.Number
+	}
+	n.do(Found{f})
+}
+
+func (n *Node) probed(now int64, e Probed) {
+	if n.probe == nil {
+		return
+	}
+	n.probe.Done(now, e.Target, e.Good)
+	n.take(e.Finding)
+	if len(n.found) < findingsMost {
+		n.found = append(n.found, e.Finding)
+	}
+}
+
+// due does the periodic work.
+func (n *Node) due(now, wall int64) {
+	tell, changes := n.table.Tick(now)
+	n.tell(changes)
+	for _, t := range tell {
+		n.do(Send{To: t.To, Message: Message{Entries: t.Entries, Highest: n.duty.Highest()}})
+	}
+	n.members(now)
+	n.duty.Tick(now, wall)
+	if len(n.found) > 0 {
+		for _, m := range n.table.All() {
+			if m.State == member.Alive {
+				n.do(Send{To: m.Name, Message: Message{Findings: n.found}})
+			}
+		}
+		n.found = nil
+	}
+	if doubled := n.table.Doubled(now, n.config.Self.Name); doubled != n.doubled {
+		if n.doubled = doubled; doubled {
+			n.do(Log{Line: "another start under this name was heard: no votes are given until it is silent",
+				Member: n.config.Self.Name})
+		} else {
+			n.do(Log{Line: "no other start under this name is heard any more", Member: n.config.Self.Name})
+		}
+	}
+	n.majority(now)
+}
+
+// majority logs whether the voters can be reached, once there was time to.
+func (n *Node) majority(now int64) {
+	if now-n.started < n.config.Duty.Silence()+2*n.config.Duty.Renewal {
+		return
+	}
+	reached := n.Majority(now)
+	if reached == n.reached && n.told || n.leaving {
+		return
+	}
+	n.reached, n.told = reached, true
+	if reached {
+		n.do(Log{Line: "a majority of the voters is reached"})
+		return
+	}
+	n.do(Log{Line: "no majority of the voters is reached: nobody here acts for any slot", Why: n.missing(now)})
+}
+
+// Majority tells whether a majority of the voters answers, or is at least heard of: who neither holds nor tries has
+// no answers.
+func (n *Node) Majority(now int64) bool { return n.duty.Reached(now) || n.aliveVoters() }
+
+func (n *Node) aliveVoters() bool {
+	v := n.duty.Voters()
+	for _, set := range [][]string{v.Now, v.Before} {
+		alive := 0
+		for _, name := range set {
+			if m, _ := n.table.View(name); name == n.config.Self.Name || m.State == member.Alive {
+				alive++
+			}
+		}
+		if len(set) > 0 && alive <= len(set)/2 {
+			return false
+		}
+	}
+	return true
+}
+
+// missing names the voters that are not heard.
+func (n *Node) missing(int64) string {
+	var names []string
+	for _, name := range n.duty.Voters().Now {
+		if m, _ := n.table.View(name); name != n.config.Self.Name && m.State != member.Alive {
+			names = append(names, name+" "+m.State.String())
+		}
+	}
+	return fmt.Sprint(names)
+}
+
+// members hands a change of who is alive on to the duties, and has links to all.
+func (n *Node) members(now int64) {
+	if v := n.table.Version(); v == n.version {
+		return
+	}
+	n.version = n.table.Version()
+	if !n.leaving {
+		n.duty.Members(now, shares(n.table.Alive()))
+	}
+	var peers []Peer
+	for _, m := range n.table.All() {
+		if m.Address != "" && (m.State != member.Left) {
+			peers = append(peers, Peer{m.Name, m.Address})
+		}
+	}
+	if !slices.Equal(peers, n.linked) {
+		n.linked = peers
+		n.do(Link{Peers: peers})
+	}
+}
+
+func shares(entries []member.Entry) (out []duty.Share) {
+	for _, e := range entries {
+		out = append(out, duty.Share{Name: e.Name, Weight: e.Weight})
+	}
+	return out
+}
+
+func (n *Node) leave(now int64) {
+	if n.leaving {
+		return
+	}
+	n.leaving = true
+	tell := n.table.Leave(now)
+	n.duty.Leave(now, shares(n.table.Alive()))
+	n.carry(now)
+	for _, t := range tell {
+		n.do(Send{To: t.To, Message: Message{Entries: t.Entries, Highest: n.duty.Highest()}})
+	}
+}
+
+func (n *Node) changed(now int64, e Changed) {
+	voters := "voters as they were"
+	if err := n.duty.Revote(now, e.Voters); err != nil {
+		n.do(Log{Line: "the voters stay as they were", Why: err.Error()})
+	} else {
+		voters = fmt.Sprintf("voters of epoch %d", e.Voters.Epoch)
+	}
+	n.table.Configure(now, e.Contacts, e.Weight, n.duty.Voters().Epoch)
+	n.do(Log{Line: fmt.Sprintf("operator's file read again: %d instances, %s", len(e.Contacts), voters)})
+}
+
+// follow carries on what a change in the duties causes, and sets the timer.
+func (n *Node) follow(now int64) {
+	n.members(now)
+	n.carry(now)
+	next := min(n.duty.Next(), n.table.Next())
+	if n.probe != nil && !n.leaving {
+		for _, p := range n.probe.Due(now, func(slot int) (uint64, int64, bool) { return n.duty.Owns(now, slot) }) {
+			n.do(Ask{p})
+		}
+		next = min(next, n.probe.Next(now))
+	}
+	n.do(Timer{At: max(next, now+1e6)})
+}
+
+// carry turns the duties' effects into the node's; what was gained or lost together is one line.
+func (n *Node) carry(now int64) {
+	var logs []Log
+	note := func(line string, slot int, number uint64, why string) {
+		if last := len(logs) - 1; last >= 0 && logs[last].Line == line && logs[last].Number == number && logs[last].Why == why {
+			logs[last].Slots = append(logs[last].Slots, slot)
+			return
+		}
+		logs = append(logs, Log{Line: line, Slots: []int{slot}, Number: number, Why: why})
+	}
+	for _, e := range n.duty.Take() {
+		switch e := e.(type) {
+		case duty.Send:
+			m := e.Message
+			n.do(Send{To: e.To, Message: Message{Duty: &m}})
+		case duty.Gained:
+			if n.probe != nil {
+				n.probe.Gained(now, e.Slot)
+			}
+			note("slots gained", e.Slot, e.Number, "")
+		case duty.Lost:
+			if n.probe != nil {
+				n.probe.Lost(e.Slot)
+			}
+			note("slots lost", e.Slot, e.Number, e.Why)
+		}
+	}
+	for _, l := range logs {
+		n.do(l)
+	}
+}
+
+func (n *Node) tell(changes []member.Change) {
+	for _, c := range changes {
+		n.do(Log{Line: "member " + c.State.String(), Member: c.Name, Why: "was " + c.Was.String()})
+	}
+}
+
+// Owns tells whether this instance may act for a slot at this instant.
+func (n *Node) Owns(now int64, slot int) (number uint64, until int64, ok bool) {
+	return n.duty.Owns(now, slot)
+}
--- a/fleet/member/member.go
+++ b/fleet/member/member.go
@@ -25,7 +25,7 @@
 
 	deadBeats   = 3  // intervals without a higher counter from which a member is believed dead
 	forgetBeats = 60 // intervals after which one that is not configured is forgotten; it is told of no longer by then
-	livesMost   = 16 // starts under one name that are kept apart
+	livesMost   = 64 // starts under one name that are kept apart
 )
 
 // State is what is believed of a member.
@@ -50,6 +50,7 @@
 	Weight      float64 `cbor:"5,keyasint"` // its part of the duties
 	Leaving     bool    `cbor:"6,keyasint,omitempty"`
 	Epoch       uint64  `cbor:"7,keyasint,omitempty"` // of its voters
+	Age         int64   `cbor:"8,keyasint,omitempty"` // ns since the counter was raised, but for the ways it went
 }
 
 // Contact is an instance as it is configured: somebody to ask at the start.
@@ -97,7 +98,8 @@
 // life is one start under a name.
 type life struct {
 	beat  uint64
-	heard int64
+	heard int64 // when the counter grew here
+	grown int64 // when it grew at its instance, as told
 }
 
 // Table is who is known. All times are of one clock that never goes back.
@@ -159,8 +161,9 @@
 			delete(t.members, name)
 			t.version++
 		}
-		m.prune(now, t.config.Silence)
+		m.prune(now, t.config.Interval)
 	}
+	t.twins.prune(now, t.config.Interval)
 	if now < t.next {
 		return nil, changes
 	}
@@ -185,8 +188,11 @@
 func (t *Table) entries(now int64) []Entry {
 	out := []Entry{t.self}
 	for _, name := range slices.Sorted(maps.Keys(t.members)) {
-		if m := t.members[name]; m.Heard > 0 && now-m.Heard <= 2*deadBeats*t.config.Interval {
-			out = append(out, m.Entry)
+		m := t.members[name]
+		if l := m.lives[m.Incarnation]; l != nil && now-l.grown <= 2*deadBeats*t.config.Interval {
+			e := m.Entry
+			e.Age = max(0, now-l.grown)
+			out = append(out, e)
 		}
 	}
 	return out
@@ -227,6 +233,10 @@
 	switch {
 	case l != nil && e.Beat <= l.beat:
 		return Change{}, false
+	case l == nil && e.Age > deadBeats*t.config.Interval:
+		// Word of a start that was forgotten here: taken for news it went round without end, and no name that
+		// had ever been restarted had a vote any more.
+		return Change{}, false
 	case l == nil && len(m.lives) >= livesMost:
 		t.refused++
 		return Change{}, false
@@ -234,7 +244,7 @@
 		l = &life{}
 		m.lives[e.Incarnation] = l
 	}
-	l.beat, l.heard = e.Beat, now
+	l.beat, l.heard, l.grown = e.Beat, now, now-max(0, e.Age)
 	if m.configured {
 		e.Address, e.Weight = m.Address, m.Weight // the file says so: a peer can't move another
 	}
@@ -252,9 +262,19 @@
 	return t.enter(now, m, state), true
 }
 
-// prune forgets former starts that can't be there any more.
-func (m *known) prune(now, silence int64) {
-	maps.DeleteFunc(m.lives, func(i uint64, l *life) bool { return i != m.Incarnation && now-l.heard > silence })
+// prune forgets former starts of which no word can go round any more.
+func (m *known) prune(now, interval int64) {
+	maps.DeleteFunc(m.lives, func(i uint64, l *life) bool { return i != m.Incarnation && now-l.heard > forgetBeats*interval })
+}
+
+// there counts the starts under a name that may be there.
+func (m *known) there(now, silence int64) (n int) {
+	for _, l := range m.lives {
+		if now-l.heard <= silence {
+			n++
+		}
+	}
+	return n
 }
 
 // Doubled tells whether two starts under a name, the own one included, may both be there.
@@ -266,11 +286,11 @@
 	if m == nil {
 		return false
 	}
-	m.prune(now, t.config.Silence)
+	others := m.there(now, t.config.Silence)
 	if name == t.self.Name {
-		return len(m.lives) > 0
+		return others > 0
 	}
-	return len(m.lives) > 1
+	return others > 1
 }
 
 // View gives what is believed of a member.
--- a/fleet/member/member_test.go
+++ b/fleet/member/member_test.go
@@ -161,3 +161,31 @@
 		}
 	}
 }
+
+// Word of former starts must die out, also where many forget and hear anew: it went round without end, and every
+// name that had been restarted counted as doubled from then on.
+func TestWordOfFormerStartsDiesOut(t *testing.T) {
+	var names []string
+	for i := range 12 {
+		names = append(names, fmt.Sprintf("m%02d", i))
+	}
+	tables := map[string]*Table{}
+	lives := uint64(0)
+	start := func(name string) { lives++; tables[name] = table(name, lives, names...) }
+	for _, name := range names {
+		start(name)
+	}
+	play(tables, 0, 10*interval, nil)
+	for i, name := range names {
+		start(name)
+		play(tables, int64(10+i)*interval, int64(11+i)*interval, nil)
+	}
+	play(tables, 22*interval, 60*interval, nil)
+	for name, other := range tables {
+		for _, of := range names {
+			if other.Doubled(60*interval, of) {
+				t.Errorf("%s takes %s for doubled, 38 intervals after the last restart", name, of)
+			}
+		}
+	}
+}
--- a/process/process.go
+++ b/process/process.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"runtime"
 	"runtime/debug"
@@ -20,6 +19,7 @@
 	"tealpath/config"
 	"tealpath/feed"
 	"tealpath/front"
+	"tealpath/operator"
 	"tealpath/router"
 	"tealpath/upstream"
 )
@@ -71,6 +71,8 @@
 	pool   *upstream.Pool
 	router *router.Router
 	listed bool // the list of members has come
+	file   *operator.File
+	shared *sharing // nil: this instance shares nothing with others
 }
 
 // ErrConfig is a configuration that cannot be served by.
@@ -81,14 +83,14 @@
 	event router.Event
 }
 
-// New makes a process that has not started.
-func New(c *config.Config, log zerolog.Logger) *Process {
-	return &Process{config: c, log: log.With().Str("router", c.Name).Logger(), inbox: make(chan arrival, inboxMost)}
+// New makes a process that has not started. With an operator's file it has what that says in common with others.
+func New(c *config.Config, file *operator.File, log zerolog.Logger) *Process {
+	return &Process{config: c, file: file, log: log.With().Str("router", c.Name).Logger(), inbox: make(chan arrival, inboxMost)}
 }
 
 // Check tells what would keep a process with this configuration from serving, but for its addresses.
 func Check(c *config.Config) error {
-	_, err := New(c, zerolog.Nop()).prepare()
+	_, err := New(c, nil, zerolog.Nop()).prepare()
 	return err
 }
 
@@ -110,14 +112,14 @@
 // Run serves until leave ends and all that was taken is answered, or until ctx ends, which answers nothing. At
 // each signal of again the configuration is loaded anew.
 func (p *Process) Run(ctx context.Context, leave <-chan struct{}, again <-chan os.Signal,
-	load func() (*config.Config, error)) error {
+	load func() (*config.Config, *operator.File, error)) error {
 	p.enter(Starting)
 	defer p.enter(Stopped)
 	last, err := p.prepare()
 	if err != nil {
 		return err
 	}
-	listener, err := p.listen(ctx)
+	listener, err := listenSoon(ctx, p.config.Listen)
 	if err != nil {
 		return err
 	}
@@ -135,6 +137,20 @@
 	p.front = front.New(listener, front.Limits{Connections: int(clientShare * float64(p.sockets())),
 		Open:  openMost,
 		Bytes: int64(p.bytes(answerShare))}, post, p.line)
+	if p.file != nil && p.file.Fleet != nil {
+		p.shared, err = newSharing(ctx, p.file, p.config.Settings, p.log, func(e router.Event) {
+			select { // a probe's result is not worth waiting for
+			case p.inbox <- arrival{time.Now().UnixNano(), e}:
+			default:
+			}
+		})
+		if err != nil {
+			listener.Close()
+			return err
+		}
+		p.shared.list(p.router.Listings(), p.config.Settings)
+		group.Go(func() error { return p.shared.run(ctx, leave) })
+	}
 	p.enter(Serving)
 	p.front.SetReady(p.listed)
 	group.Go(func() error {
@@ -150,7 +166,7 @@
 			case <-ctx.Done():
 				return nil
 			case <-again:
-				p.reload(load, journal)
+				p.reload(ctx, load, journal)
 			}
 		}
 	})
@@ -161,8 +177,11 @@
 
 // reload takes the journal service's address from the configuration as it is now. All else is in force from the
 // next start on; one that cannot be used changes nothing.
-func (p *Process) reload(load func() (*config.Config, error), journal *feed.Feed) {
-	next, err := load()
+func (p *Process) reload(ctx context.Context, load func() (*config.Config, *operator.File, error), journal *feed.Feed) {
+	next, file, err := load()
+	if err == nil && p.shared != nil && file != nil {
+		err = p.shared.reload(ctx, file)
+	}
 	if err != nil {
 		p.line("configuration kept as it was: " + err.Error())
 		return
@@ -175,15 +194,7 @@
 	journal.Move(next.Journal)
 }
 
-// listen opens the listener. At a restart the router before may not have let go of the address yet.
-func (p *Process) listen(ctx context.Context) (net.Listener, error) {
-	for end := time.Now().Add(addressWait); ; time.Sleep(addressWait / 20) {
-		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", p.config.Listen)
-		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
-			return listener, err
-		}
-	}
-}
+func isInUse(err error) bool { return errors.Is(err, syscall.EADDRINUSE) }
 
 func (p *Process) sockets() int64 { return max(p.config.Sockets, leastSockets) }
 
@@ -246,6 +257,9 @@
 				p.listed = true
 				p.front.SetReady(leftAt.IsZero())
 			}
+			if _, list := a.event.(router.Listed); list && p.shared != nil {
+				p.shared.list(p.router.Listings(), p.config.Settings)
+			}
 		case <-timer.C:
 			p.handle(time.Now().UnixNano(), router.Due{}, timer)
 		}
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -16,7 +16,7 @@
 		want int // MB for the runtime
 	}{{"a small one", 32, 22}, {"the usual", 192, 134}, {"none set", 0, 44}} {
 		t.Run(c.name, func(t *testing.T) {
-			p := New(&config.Config{MemoryMB: c.mb}, zerolog.Nop())
+			p := New(&config.Config{MemoryMB: c.mb}, nil, zerolog.Nop())
 			if got := p.bytes(memoryShare) >> 20; got != c.want {
 				t.Errorf("%d MB, want %d", got, c.want)
 			}
--- /dev/null
+++ b/process/sharing.go
@@ -0,0 +1,291 @@
+package process
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"tealpath/control"
+	"tealpath/fleet"
+	"tealpath/fleet/duty"
+	"tealpath/fleet/peer"
+	"tealpath/fleet/probe"
+	"tealpath/operator"
+	"tealpath/router"
+	"tealpath/upstream"
+)
+
+const (
+	sharingInbox = 256 // messages on their way to the reducer of the fleet
+	probesMost   = 256 // under way
+	flushWithin  = 300 * time.Millisecond
+)
+
+// sharing is what an instance has in common with others: the reducer of the fleet, and the links and probes round it.
+type sharing struct {
+	file    *operator.File
+	node    *fleet.Node
+	links   *peer.Links
+	log     zerolog.Logger
+	inbox   chan fleet.Event
+	asks    chan chan fleet.Status
+	targets atomic.Pointer[[]probe.Target]
+	relist  chan struct{}
+	tell    func(router.Event) // does not wait
+	report  []string
+	probing chan struct{}
+	probes  atomic.Int64 // sent
+	frames  atomic.Int64 // sent
+}
+
+// coldOf takes what cold members bear from the settings.
+func coldOf(set control.Settings) (cache, parent probe.Cold) {
+	cache = probe.Cold{Share: setting(set, "cold.share", 1.), Factor: setting(set, "cold.factor", 1.),
+		Window: setting(set, "cold.window", int64(time.Second)), Span: setting(set, "cold.span", int64(0))}
+	parent = cache
+	parent.Share, parent.Span = setting(set, "parent.coldShare", 1.), setting(set, "parent.coldSpan", int64(0))
+	parent.Factor = setting(set, "parent.coldFactor", cache.Factor)
+	return cache, parent
+}
+
+func setting[T any](set control.Settings, name string, fallback T) T {
+	if v, ok := set[name].(T); ok {
+		return v
+	}
+	return fallback
+}
+
+// Bind checks an operator's file against the deployment's settings.
+func Bind(file *operator.File, set control.Settings) error {
+	cache, parent := coldOf(set)
+	return file.Bound(setting(set, "probe", false), cache, parent)
+}
+
+// newSharing makes the fleet's part of a process, with its listener open.
+func newSharing(ctx context.Context, file *operator.File, set control.Settings, log zerolog.Logger,
+	tell func(router.Event)) (*sharing, error) {
+	f := file.Fleet
+	var draw [16]byte
+	if _, err := rand.Read(draw[:]); err != nil {
+		return nil, err
+	}
+	self := duty.Holder{Name: f.Name, Incarnation: binary.LittleEndian.Uint64(draw[:8]) | 1}
+	keys, err := f.TLS.Load()
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrConfig, err)
+	}
+	node, err := fleet.New(bootTime(), fleet.Config{Self: self, Address: f.Listen, Weight: f.Weight, Contacts: f.Instances,
+		Duty: duty.Config{Slots: f.Slots, Lease: f.Lease, Renewal: f.Renewal, Drift: f.Drift, Voters: f.Voters},
+		Seed: binary.LittleEndian.Uint64(draw[8:]), Probe: f.Probe})
+	if err != nil {
+		return nil, fmt.Errorf("%w: fleet: %w", ErrConfig, err)
+	}
+	listener, err := listenSoon(ctx, f.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("links to instances: %w", err)
+	}
+	s := &sharing{file: file, node: node, log: log, inbox: make(chan fleet.Event, sharingInbox),
+		asks: make(chan chan fleet.Status), relist: make(chan struct{}, 1), tell: tell, probing: make(chan struct{}, probesMost)}
+	s.report, _ = set["report.fields"].([]string)
+	s.links = peer.New(peer.Config{Name: self.Name, Incarnation: self.Incarnation, Listener: listener, Keys: keys,
+		Allow: f.Allow, Log: func(line, who, why string) { s.note(fleet.Log{Line: line, Member: who, Why: why}) },
+		Receive: func(name string, incarnation uint64, payload []byte) {
+			m, err := fleet.Decode(payload)
+			if err != nil {
+				s.note(fleet.Log{Line: "a message passed over", Member: name, Why: err.Error()})
+				return
+			}
+			s.post(ctx, fleet.Came{From: duty.Holder{Name: name, Incarnation: incarnation}, Message: m})
+		}})
+	return s, nil
+}
+
+func (s *sharing) post(ctx context.Context, e fleet.Event) {
+	select {
+	case s.inbox <- e:
+	case <-ctx.Done():
+	}
+}
+
+// list hands the list of members on; it does not wait.
+func (s *sharing) list(lines []router.Listing, set control.Settings) {
+	var out []probe.Target
+	cache, parent := coldOf(set)
+	kinds := setting(set, "kinds", []string(nil))
+	kind := func(name string) string {
+		if i := setting(set, name, int64(-1)); i >= 0 && i < int64(len(kinds)) {
+			return kinds[i]
+		}
+		return ""
+	}
+	ahead := time.Now().UnixNano() - bootTime() // of the boot clock
+	for _, l := range lines {
+		if l.Phase != "ready" || l.Kind == kind("kind.origin") && l.Kind != "" {
+			continue // who drains or is gone gets nothing new, the origin is not probed
+		}
+		t := probe.Target{Name: l.Instance, Address: l.Address, Units: l.Units,
+			Parent: l.Kind != "" && l.Kind == kind("kind.parent")}
+		span := cache.Span
+		if t.Parent {
+			span = parent.Span
+		}
+		if l.Started > 0 {
+			t.WarmAt = l.Started + span - ahead
+		}
+		out = append(out, t)
+	}
+	s.targets.Store(&out)
+	select {
+	case s.relist <- struct{}{}:
+	default:
+	}
+}
+
+// run is the one goroutine of the fleet's reducer, with the links beside it.
+func (s *sharing) run(ctx context.Context, leave <-chan struct{}) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return s.links.Run(ctx) })
+	if s.file.Socket != "" {
+		group.Go(func() error {
+			return operator.Serve(ctx, s.file.Socket, map[string]operator.Handler{"duties": s.status})
+		})
+	}
+	group.Go(func() error {
+		timer := time.NewTimer(0)
+		defer timer.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case e := <-s.inbox:
+				s.handle(ctx, e, timer)
+			case <-s.relist:
+				s.handle(ctx, fleet.Listed{Targets: *s.targets.Load()}, timer)
+			case <-leave:
+				leave = nil
+				s.handle(ctx, fleet.Leaving{}, timer)
+				s.links.Flush(flushWithin)
+			case reply := <-s.asks:
+				reply <- s.node.Status(bootTime())
+			case <-timer.C:
+				s.handle(ctx, fleet.Due{Wall: time.Now().UnixMilli()}, timer)
+			}
+		}
+	})
+	return group.Wait()
+}
+
+// status answers who owns what.
+func (s *sharing) status(ctx context.Context, _ []string) (any, error) {
+	reply := make(chan fleet.Status, 1)
+	select {
+	case s.asks <- reply:
+		return <-reply, nil
+	case <-ctx.Done():
+		return nil, errors.New("the instance does not answer in time")
+	}
+}
+
+func (s *sharing) handle(ctx context.Context, e fleet.Event, timer *time.Timer) {
+	for _, effect := range s.node.Handle(bootTime(), e) {
+		switch effect := effect.(type) {
+		case fleet.Send:
+			payload, err := effect.Message.Encode()
+			if err != nil {
+				s.note(fleet.Log{Line: "a message could not be written", Member: effect.To, Why: err.Error()})
+				continue
+			}
+			s.frames.Add(1)
+			s.links.Send(effect.To, payload)
+		case fleet.Link:
+			peers := make(map[string]string, len(effect.Peers))
+			for _, p := range effect.Peers {
+				peers[p.Name] = p.Address
+			}
+			s.links.Aim(peers)
+		case fleet.Ask:
+			s.ask(ctx, effect.Probe)
+		case fleet.Found:
+			s.tell(router.Probed{Instance: effect.Target, Good: effect.Good, Load: effect.Load})
+		case fleet.Log:
+			s.note(effect)
+		case fleet.Timer:
+			timer.Reset(time.Duration(effect.At - bootTime()))
+		}
+	}
+}
+
+// ask sends a probe beside the reducer.
+func (s *sharing) ask(ctx context.Context, p probe.Probe) {
+	select {
+	case s.probing <- struct{}{}:
+	default:
+		return // as many as that hang already: one that is left out is not missed
+	}
+	go func() {
+		defer func() { <-s.probing }()
+		limited, cancel := context.WithTimeout(ctx, time.Duration(p.Within))
+		defer cancel()
+		load, err := upstream.Alive(limited, p.Address, fmt.Sprintf("%016x", p.Number), s.report,
+			func() bool { return bootTime() < p.Until })
+		if errors.Is(err, upstream.ErrWithdrawn) || ctx.Err() != nil {
+			return
+		}
+		s.probes.Add(1)
+		s.post(ctx, fleet.Probed{Finding: fleet.Finding{Target: p.Target, Number: p.Number, Good: err == nil, Load: load}})
+	}()
+}
+
+func (s *sharing) note(l fleet.Log) {
+	event := s.log.Info()
+	if l.Member != "" {
+		event = event.Str("member", l.Member)
+	}
+	if l.Slots != nil {
+		event = event.Ints("slots", l.Slots).Uint64("number", l.Number)
+	}
+	if l.Why != "" {
+		event = event.Str("why", l.Why)
+	}
+	event.Msg(l.Line)
+}
+
+// reload takes what may change in a running instance from the operator's file as it is now: keys, address sets,
+// instances, voters. All of it or nothing.
+func (s *sharing) reload(ctx context.Context, next *operator.File) error {
+	if next.Fleet == nil {
+		return errors.New("it has no (fleet …) any more: that takes a restart")
+	}
+	keys, err := next.Fleet.TLS.Load()
+	if err != nil {
+		return err
+	}
+	old, f := s.file.Fleet, next.Fleet
+	if old.Slots != f.Slots || old.Lease != f.Lease || old.Renewal != f.Renewal || old.Drift != f.Drift ||
+		old.Listen != f.Listen || s.file.Socket != next.Socket || (old.Probe == nil) != (f.Probe == nil) ||
+		old.Probe != nil && *old.Probe != *f.Probe {
+		s.note(fleet.Log{Line: "operator's file: in force after a restart only: slots, lease, renewal, drift, listen, socket, probe"})
+	}
+	s.links.Use(keys)
+	s.links.Allow(f.Allow)
+	s.post(ctx, fleet.Changed{Contacts: f.Instances, Weight: f.Weight, Voters: f.Voters})
+	return nil
+}
+
+// listenSoon opens a listener. At a restart the process before may not have let go of the address yet.
+func listenSoon(ctx context.Context, address string) (net.Listener, error) {
+	for end := time.Now().Add(addressWait); ; time.Sleep(addressWait / 20) {
+		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+		if err == nil || !isInUse(err) || time.Now().After(end) {
+			return listener, err
+		}
+	}
+}
--- a/router/events.go
+++ b/router/events.go
@@ -70,6 +70,13 @@
 	When   int64
 }
 
+// Probed tells what a probe of a member found, by this instance or by another that shares the duty.
+type Probed struct {
+	Instance string
+	Good     bool
+	Load     []float64
+}
+
 // Due tells that the time that SetTimer named has come.
 type Due struct{}
 
--- a/router/router.go
+++ b/router/router.go
@@ -61,6 +61,7 @@
 	longest                            int64 // that a client may wait
 	streams                            int64
 	mayCancel                          bool
+	mayProbe                           bool
 	flow                               float64 // bytes a second of one answer; 0 is not told
 	products                           []string
 }
@@ -109,7 +110,9 @@
 	for _, stop := range setting(set, "product.hardStop", []int64(nil)) {
 		r.longest = max(r.longest, stop)
 	}
-	// A sign of life tells nothing of how a member serves.
+	// A sign of life tells nothing of how a member serves: the module tries suspects by dispatches. What instances that
+	// share the duty of probing find comes beside that.
+	r.mayProbe = setting(set, "probe", false)
 	set = maps.Clone(set)
 	set["probe"] = false
 	var err error
@@ -193,6 +196,10 @@
 		r.listed(e)
 	case Purged:
 		r.purged(e)
+	case Probed:
+		if m := r.members[e.Instance]; m != nil && r.mayProbe {
+			r.decide.Probed(r.now, m.ID, e.Good, e.Load)
+		}
 	case Leaving:
 		r.leaving(e)
 	}
@@ -461,5 +468,14 @@
 	}
 }
 
+// Listings is the list of members as it is now, by name.
+func (r *Router) Listings() []Listing {
+	out := make([]Listing, 0, len(r.members))
+	for _, name := range sortedKeys(r.members) {
+		out = append(out, r.members[name].Listing)
+	}
+	return out
+}
+
 // Hands is how many retrievals are in hand.
 func (r *Router) Hands() int { return r.hands }
