--- a/cmd/tealpath/duties.go
+++ b/cmd/tealpath/duties.go
@@ -111,6 +111,7 @@
 	}
 	fmt.Fprintf(out, "\n%d targets are probed, %d of them here; %d probes left out to spare cold ones, %d stale findings dropped\n",
 		s.Targets, s.OwnTargets, s.Skipped, s.Stale)
+	fmt.Fprintf(out, "%d frames sent to other instances, %d dropped from full queues; %d probes sent\n", s.Frames, s.FramesLost, s.Probes)
 }
 
 func span(ms int64) string {
--- a/fleet/duty/duty.go
+++ b/fleet/duty/duty.go
@@ -180,6 +180,7 @@
 type grant struct {
 	promised   uint64
 	promisedTo Holder
+	promisedAt int64
 	holder     Holder
 	number     uint64
 	until      int64
--- a/fleet/duty/hold.go
+++ b/fleet/duty/hold.go
@@ -86,10 +86,7 @@
 	h.number, h.taking = 0, false
 	for _, name := range to {
 		if name == n.config.Self.Name {
-			if g := &n.grants[slot]; g.holder == n.config.Self && g.number == m.Items[0].Number {
-				g.until = 0
-				g.promised, g.promisedTo = max(g.promised, g.number+1), Holder{}
-			}
+			n.free(&n.grants[slot], n.config.Self, m.Items[0].Number)
 			continue
 		}
 		n.do(Send{To: name, Message: m})
@@ -265,6 +262,20 @@
 	}
 }
 
+// Renumber gives a slot up that is held under a number below one seen for what is done under it, and asks for it anew:
+// all of a majority had restarted with wall clocks set back, and nobody takes what is done under the low one.
+func (n *Node) Renumber(now int64, slot int, seen uint64) {
+	n.Known(seen)
+	if number, _, ok := n.Owns(now, slot); !ok || number >= seen || n.highest < seen {
+		return
+	}
+	n.drop(slot, "a higher number was seen")
+	n.release(slot, &n.holds[slot], "")
+	n.holds[slot].busyUntil = 0
+	n.look(now)
+	n.attempt(now)
+}
+
 // number is one above all that is known, and not behind the wall clock.
 func (n *Node) number() uint64 {
 	if n.fault.reuseNumbers {
--- a/fleet/duty/vote.go
+++ b/fleet/duty/vote.go
@@ -20,6 +20,9 @@
 		g := &n.grants[i.Slot]
 		held := now < g.until && g.holder != from
 		behind := i.Number < g.promised || i.Number == g.promised && g.promisedTo != from
+		if m.Kind == Take && i.Number >= g.number && now-g.promisedAt >= n.config.Lease {
+			behind = false // a promise that nothing came of kept a voter from its slot's holder for a whole tenure
+		}
 		if m.Kind == Ask {
 			// The floor is for numbers that were known when the silence ended: their promises are forgotten.
 			behind = behind || i.Number <= n.floor || i.Number <= g.number
@@ -33,7 +36,9 @@
 			bad.Items = append(bad.Items, no)
 			continue
 		}
-		g.promised, g.promisedTo = max(g.promised, i.Number), from
+		if m.Kind == Ask || i.Number >= g.promised {
+			g.promised, g.promisedTo, g.promisedAt = max(g.promised, i.Number), from, now
+		}
 		if m.Kind == Take {
 			g.holder, g.number, g.until = from, i.Number, now+n.config.Lease
 			n.Known(i.Number)
@@ -55,16 +60,21 @@
 	}
 }
 
-// released takes back what a holder has given up. A take that is late by now is not to be accepted any more.
+// free ends a grant. A take under its number that is late by now is not accepted any more.
+func (n *Node) free(g *grant, from Holder, number uint64) {
+	if g.holder == from && g.number == number {
+		g.holder, g.number, g.until = Holder{}, number+1, 0
+		g.promised = max(g.promised, number+1)
+	}
+}
+
+// released takes back what a holder has given up.
 func (n *Node) released(now int64, from Holder, m Message) {
 	for _, i := range m.Items {
 		if i.Slot < 0 || i.Slot >= len(n.grants) {
 			continue
 		}
-		if g := &n.grants[i.Slot]; g.holder == from && g.number == i.Number {
-			g.until = min(g.until, now)
-			g.promised, g.promisedTo = max(g.promised, i.Number+1), Holder{}
-		}
+		n.free(&n.grants[i.Slot], from, i.Number)
 		n.Known(i.Number)
 		h := &n.holds[i.Slot]
 		if h.held || h.number != 0 || n.leaving {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -128,6 +128,13 @@
 // Ask wants a target probed: written before Until by this clock, or not at all.
 type Ask struct{ probe.Probe }
 
+// Held tells under which number a slot is held from now on, 0 if it no longer is. It comes before any message that
+// would let somebody else have the slot: what is on its way to be done under it must see that.
+type Held struct {
+	Slot   int
+	Number uint64
+}
+
 // Found tells the router what a probe found, here or elsewhere.
 type Found struct{ Finding }
 
@@ -155,6 +162,7 @@
 	seen    map[string]uint64 // highest number under which a target was probed, as told
 	stale   int64             // findings under a number older than one seen
 	found   []Finding         // to be told
+	foundAt int64             // when they are
 	reached bool
 	told    bool // whether it was ever told that there is or is no majority
 	doubled bool
@@ -240,6 +248,7 @@
 	if _, known := n.seen[f.Target]; known || len(n.seen) < most {
 		n.seen[f.Target] = f.Number
 	}
+	n.duty.Known(f.Number)
 	n.do(Found{f})
 }
 
@@ -248,6 +257,9 @@
 		return
 	}
 	n.probe.Done(now, e.Target, e.Good)
+	if seen := n.seen[e.Target]; e.Number < seen {
+		n.duty.Renumber(now, duty.SlotOf(e.Target, n.config.Duty.Slots), seen)
+	}
 	n.take(e.Finding)
 	if len(n.found) < findingsMost {
 		n.found = append(n.found, e.Finding)
@@ -263,7 +275,8 @@
 	}
 	n.members(now)
 	n.duty.Tick(now, wall)
-	if len(n.found) > 0 {
+	if len(n.found) > 0 && now >= n.foundAt {
+		n.foundAt = now + n.config.Duty.Renewal // together, as each message costs more than what it holds
 		for _, m := range n.table.All() {
 			if m.State == member.Alive {
 				n.do(Send{To: m.Name, Message: Message{Findings: n.found}})
@@ -415,11 +428,13 @@
 			if n.probe != nil {
 				n.probe.Gained(now, e.Slot)
 			}
+			n.do(Held{e.Slot, e.Number})
 			note("slots gained", e.Slot, e.Number, "")
 		case duty.Lost:
 			if n.probe != nil {
 				n.probe.Lost(e.Slot)
 			}
+			n.do(Held{e.Slot, 0})
 			note("slots lost", e.Slot, e.Number, e.Why)
 		}
 	}
--- a/fleet/status.go
+++ b/fleet/status.go
@@ -20,6 +20,9 @@
 	OwnTargets  int            `json:"own_targets"`
 	Skipped     int64          `json:"probes_left_out"`
 	Stale       int64          `json:"stale_findings"`
+	Frames      int64          `json:"frames_sent"`    // to other instances
+	FramesLost  uint64         `json:"frames_dropped"` // from full queues
+	Probes      int64          `json:"probes_sent"`
 }
 
 // MemberStatus is what is believed of one member.
--- a/lab/virtual.go
+++ b/lab/virtual.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"context"
 	"fmt"
 	"math/rand/v2"
 
@@ -15,6 +16,7 @@
 type Virtual struct {
 	Instances, Slots, Targets int
 	Hours                     float64
+	Steps                     bool // wall clocks are set back and forth by an hour
 	Seed                      uint64
 	Lease, Renewal            int64
 }
@@ -23,8 +25,9 @@
 type VirtualResult struct {
 	Instances  int     `json:"instances"`
 	Hours      float64 `json:"hours"`
-	Overlaps   int     `json:"overlaps"`   // moments at which two owned a slot
-	Backward   int     `json:"backward"`   // numbers that did not grow
+	Overlaps   int     `json:"overlaps"` // moments at which two owned a slot
+	Backward   int     `json:"backward"` // numbers that did not grow, while no wall clock was set back
+	Stepped    int     `json:"backward_with_clocks_set_back"`
 	Duplicated int     `json:"duplicated"` // probes of a target by two owners within its period
 	Tenures    int     `json:"tenures"`
 	Kills      int     `json:"kills"`
@@ -97,7 +100,7 @@
 
 // Run plays it. Troubles come every few leases: restarts, a majority's among them, splits, one-way loss, losses,
 // delays longer than a lease, frozen instances, wall clocks set back and forth.
-func (v Virtual) Run() VirtualResult {
+func (v Virtual) Run(ctx context.Context) VirtualResult {
 	r := &virtualRun{Virtual: v, rng: rand.New(rand.NewPCG(v.Seed, uint64(v.Instances))), probed: map[string]virtualProbe{},
 		result: VirtualResult{Instances: v.Instances, Hours: v.Hours}, delay: v.Renewal / 100}
 	r.owner, r.highest = make([]int, v.Slots), make([]uint64, v.Slots)
@@ -113,7 +116,7 @@
 	r.push(event{at: 4 * v.Lease, node: -1})
 	for end := int64(v.Hours * 3600e9); len(r.agenda) > 0; {
 		e := heap.Pop(&r.agenda).(event)
-		if e.at > end {
+		if e.at > end || e.node < 0 && ctx.Err() != nil {
 			break
 		}
 		r.ownedNS += float64(r.owned) * float64(e.at-r.now)
@@ -122,6 +125,7 @@
 	}
 	r.result.OwnedShare = r.ownedNS / float64(r.now) / float64(v.Slots)
 	r.result.Expected = float64(v.Targets) * float64(r.now) / 1e9
+	r.result.Hours = float64(r.now) / 3600e9
 	return r.result
 }
 
@@ -239,7 +243,11 @@
 		switch l.Line {
 		case "slots gained":
 			r.result.Tenures++
-			if l.Number <= r.highest[s] {
+			switch {
+			case l.Number > r.highest[s]:
+			case r.Steps:
+				r.result.Stepped++
+			default:
 				r.result.Backward++
 			}
 			r.highest[s] = max(r.highest[s], l.Number)
@@ -300,7 +308,9 @@
 	case 7:
 		some.frozen = r.now + r.rng.Int64N(4*r.Lease)
 	case 8:
-		some.wall = []int64{-3600e3, 3600e3}[r.rng.IntN(2)]
+		if r.Steps {
+			some.wall = []int64{-3600e3, 3600e3}[r.rng.IntN(2)]
+		}
 	default:
 		for _, n := range r.nodes {
 			n.side, n.deaf = 0, false
@@ -316,3 +326,19 @@
 	}
 	r.push(event{at: r.now + r.Lease + r.rng.Int64N(10*r.Lease), node: -1})
 }
+
+// Add adds what another run came to.
+func (r *VirtualResult) Add(o VirtualResult) {
+	r.Hours += o.Hours
+	r.Overlaps += o.Overlaps
+	r.Backward += o.Backward
+	r.Stepped += o.Stepped
+	r.Duplicated += o.Duplicated
+	r.Tenures += o.Tenures
+	r.Kills += o.Kills
+	r.Splits += o.Splits
+	r.Messages += o.Messages
+	r.Probes += o.Probes
+	r.Expected += o.Expected
+	r.OwnedShare += o.OwnedShare
+}
--- a/process/sharing.go
+++ b/process/sharing.go
@@ -42,8 +42,9 @@
 	tell    func(router.Event) // does not wait
 	report  []string
 	probing chan struct{}
-	probes  atomic.Int64 // sent
-	frames  atomic.Int64 // sent
+	held    []atomic.Uint64 // by slot: the number that it is held under, 0 if it is not
+	probes  atomic.Int64    // sent
+	frames  atomic.Int64    // sent
 }
 
 // coldOf takes what cold members bear from the settings.
@@ -93,7 +94,8 @@
 		return nil, fmt.Errorf("links to instances: %w", err)
 	}
 	s := &sharing{file: file, node: node, log: log, inbox: make(chan fleet.Event, sharingInbox),
-		asks: make(chan chan fleet.Status), relist: make(chan struct{}, 1), tell: tell, probing: make(chan struct{}, probesMost)}
+		asks: make(chan chan fleet.Status), relist: make(chan struct{}, 1), tell: tell, probing: make(chan struct{}, probesMost),
+		held: make([]atomic.Uint64, f.Slots)}
 	s.report, _ = set["report.fields"].([]string)
 	s.links = peer.New(peer.Config{Name: self.Name, Incarnation: self.Incarnation, Listener: listener, Keys: keys,
 		Allow: f.Allow, Log: func(line, who, why string) { s.note(fleet.Log{Line: line, Member: who, Why: why}) },
@@ -174,7 +176,9 @@
 				s.handle(ctx, fleet.Leaving{}, timer)
 				s.links.Flush(flushWithin)
 			case reply := <-s.asks:
-				reply <- s.node.Status(bootTime())
+				status := s.node.Status(bootTime())
+				status.Frames, status.FramesLost, status.Probes = s.frames.Load(), s.links.Lost(), s.probes.Load()
+				reply <- status
 			case <-timer.C:
 				s.handle(ctx, fleet.Due{Wall: time.Now().UnixMilli()}, timer)
 			}
@@ -211,6 +215,8 @@
 				peers[p.Name] = p.Address
 			}
 			s.links.Aim(peers)
+		case fleet.Held:
+			s.held[effect.Slot].Store(effect.Number)
 		case fleet.Ask:
 			s.ask(ctx, effect.Probe)
 		case fleet.Found:
@@ -235,7 +241,7 @@
 		limited, cancel := context.WithTimeout(ctx, time.Duration(p.Within))
 		defer cancel()
 		load, err := upstream.Alive(limited, p.Address, fmt.Sprintf("%016x", p.Number), s.report,
-			func() bool { return bootTime() < p.Until })
+			func() bool { return bootTime() < p.Until && s.held[p.Slot].Load() == p.Number })
 		if errors.Is(err, upstream.ErrWithdrawn) || ctx.Err() != nil {
 			return
 		}
