--- a/cmd/teallab/main.go
+++ b/cmd/teallab/main.go
@@ -52,7 +52,7 @@
 				&cli.DurationFlag{Name: "period", Value: time.Second}, &cli.DurationFlag{Name: "calm", Value: 10 * time.Second},
 				&cli.StringFlag{Name: "binary", Value: "bin/tealpath"},
 				&cli.Float64Flag{Name: "virtual", Usage: "play the modules for so many `HOURS` of simulated time instead"},
-			}}}}
+			}}, idleCommand(usage), holdCommand(usage), waysCommand(usage)}}
 }
 
 func duties(ctx context.Context, cmd *cli.Command) error {
@@ -71,7 +71,7 @@
 		return cli.Exit(err, exitBroken)
 	}
 	defer os.RemoveAll(folder)
-	result, err := lab.Duties{Setup: lab.Setup{Binary: cmd.String("binary"), Folder: folder, Instances: cmd.Int("instances"),
+	result, err := lab.Duties{Setup: lab.Setup{Core: -1, Binary: cmd.String("binary"), Folder: folder, Instances: cmd.Int("instances"),
 		Caches: cmd.Int("caches"), Slots: cmd.Int("slots"), Lease: cmd.Duration("lease"), Renewal: cmd.Duration("renewal"),
 		Period: cmd.Duration("period")}, Kills: cmd.Int("kills"), Seed: cmd.Uint64("seed"), Out: out, Calm: cmd.Duration("calm"),
 		Process: os.Stdout}.Run(ctx)
--- a/cmd/tealpath/duties.go
+++ b/cmd/tealpath/duties.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"os"
 	"strings"
@@ -33,7 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := process.Bind(file, c.Settings); err != nil {
+	if err := process.Bind(file, c); err != nil {
 		return nil, fmt.Errorf("operator's file %s:\n%w", path, err)
 	}
 	return file, nil
@@ -53,21 +52,46 @@
 		path, len(f.Instances), len(f.Voters.Now), f.Voters.Epoch, f.Slots, time.Duration(f.Lease), time.Duration(f.Renewal), probing)
 }
 
-// duties asks a running instance who owns what.
-func duties(ctx context.Context, cmd *cli.Command) error {
+// socket is where a running instance answers, by the flags of a command.
+func socket(cmd *cli.Command) (string, error) {
 	if err := atMost(cmd, 0); err != nil {
-		return err
+		return "", err
 	}
 	path := cmd.String("socket")
 	if path == "" && cmd.String("operator") != "" {
 		file, err := operator.Load(cmd.String("operator"), os.Getenv("LB_NAME"))
 		if err != nil {
-			return cli.Exit(err, exitUsage)
+			return "", cli.Exit(err, exitUsage)
 		}
 		path = file.Socket
 	}
 	if path == "" {
-		return cli.Exit(errors.New("duties: name the socket by --socket, or by --operator a file that has one"), exitUsage)
+		return "", cli.Exit(fmt.Errorf("%s: name the socket by --socket, or by --operator a file that has one", cmd.Name), exitUsage)
+	}
+	return path, nil
+}
+
+// connections asks a running instance how many connections it has.
+func connections(ctx context.Context, cmd *cli.Command) error {
+	path, err := socket(cmd)
+	if err != nil {
+		return err
+	}
+	var c process.Connections
+	if err := operator.Ask(ctx, path, &c, "connections"); err != nil {
+		return cli.Exit(err, exitFailed)
+	}
+	fmt.Printf("%d connections: %d idle, %d of them at rest, %d busy, %d reading, %d fresh, %d closing; %d wait to be woken\n", c.All, c.Idle,
+		c.Parked, c.Busy, c.Reading, c.Fresh, c.Closing, c.Waiting)
+	fmt.Printf("%d goroutines, %d KB of heap, %d KB of stacks\n", c.Goroutines, c.HeapBytes>>10, c.StackBytes>>10)
+	return nil
+}
+
+// duties asks a running instance who owns what.
+func duties(ctx context.Context, cmd *cli.Command) error {
+	path, err := socket(cmd)
+	if err != nil {
+		return err
 	}
 	var s fleet.Status
 	if err := operator.Ask(ctx, path, &s, "duties"); err != nil {
--- a/front/front.go
+++ b/front/front.go
@@ -19,6 +19,8 @@
 
 	"golang.org/x/sync/semaphore"
 
+	"tealpath/front/idle"
+	"tealpath/front/park"
 	"tealpath/router"
 	"tealpath/thrift"
 )
@@ -36,6 +38,10 @@
 	lingerBytes = 32 << 10 // thrown away between two gaps: one that sends without end gets little of the core
 )
 
+// FreshMost is when the table closes a connection that has asked for nothing, ns. Its own reader ends it before, more
+// gently.
+const FreshMost = int64(2*newMost + lingerMost)
+
 const (
 	roomTries   = 8                      // connections that are looked at for one that can be closed
 	readingMost = 300 * time.Millisecond // for a request to come before its connection may be closed for another
@@ -58,6 +64,10 @@
 	Connections int
 	Open        int   // requests on one connection
 	Bytes       int64 // of requests being read and, apart, of answers waiting to be written
+	Cores       float64
+	Seed        uint64
+	Crowded     func() bool // whether others wait for the core; nil is never
+	Keep        *Keep       // nil: as the platform states it
 }
 
 // Front serves clients on one listener.
@@ -72,16 +82,39 @@
 	full     atomic.Bool // answers are failing for want of memory
 
 	mu      sync.Mutex
-	clients map[router.ClientID]*client
+	clients map[router.ClientID]*client // those that are not parked
 	last    router.ClientID
 	crowded bool // connections are at their bound
 	group   sync.WaitGroup
+
+	lot       *park.Lot // nil: the system has none
+	admit     *idle.Admission
+	waiting   atomic.Int64 // parked connections on which something has come that is not taken in yet
+	refusals  int
+	refusedAt time.Time
+
+	places sync.Mutex // locked last, for moments; guards what follows
+	table  *idle.Table
+	keep   *Keep
+	at     []place // by the table's IDs
 }
 
 // New makes a front on a listener; post takes what comes in.
 func New(listener net.Listener, limits Limits, post func(router.Event), log func(string)) *Front {
-	return &Front{listener: listener, post: post, log: log, limits: limits,
-		reading: semaphore.NewWeighted(max(limits.Bytes, thrift.FrameMost)), clients: map[router.ClientID]*client{}}
+	if limits.Keep == nil {
+		limits.Keep = &Keep{Networks: []idle.Keep{{Fresh: FreshMost, Idle: int64(idleMost)}}}
+	}
+	if limits.Crowded == nil {
+		limits.Crowded = func() bool { return false }
+	}
+	f := &Front{listener: listener, post: post, log: log, limits: limits, keep: limits.Keep,
+		reading: semaphore.NewWeighted(max(limits.Bytes, thrift.FrameMost)), clients: map[router.ClientID]*client{},
+		admit: idle.NewAdmission(limits.Cores),
+		table: idle.New(idle.Limits{Connections: limits.Connections, Cores: limits.Cores}, limits.Keep.Networks, limits.Seed)}
+	if lot, err := park.New(); err == nil {
+		f.lot = lot
+	}
+	return f
 }
 
 // SetReady says what health tells.
@@ -91,7 +124,11 @@
 func (f *Front) Serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { f.listener.Close() })
 	defer stop()
+	defer f.closeParked()
 	defer f.group.Wait()
+	inner, end := context.WithCancel(ctx)
+	defer end() // also where the listener ends by itself
+	f.group.Go(func() { f.janitor(inner) })
 	failing := false
 	for {
 		conn, err := f.listener.Accept()
@@ -116,59 +153,118 @@
 			failing = false
 			f.log("connections are accepted again")
 		}
+		if !f.take(inner, conn) {
+			return nil
+		}
+	}
+}
+
+// take takes a connection in once there is room and the pace lets it; until then it and those behind it wait in the
+// listener's backlog. It tells whether to go on.
+func (f *Front) take(ctx context.Context, conn net.Conn) bool {
+	for {
+		wait := time.Duration(f.admit.Wait(time.Now().UnixNano(), f.limits.Crowded()))
+		if wait == 0 {
+			break
+		}
+		if !pause(ctx, wait) {
+			conn.Close()
+			return false
+		}
+	}
+	for {
+		c, v := f.add(conn)
+		switch v {
+		case idle.Taken:
+			f.run(ctx, c)
+			return true
+		case idle.PerClient, idle.PerNetwork:
+			conn.Close() // a bound of the operator's own, for the one who comes
+			f.refused(v)
+			return true
+		}
 		// Closed at once instead of waiting, it took with it what the client had asked for already.
-		for !f.room() {
-			select {
-			case <-time.After(acceptGap):
-			case <-ctx.Done():
-				conn.Close()
-				return nil
-			}
+		if !f.room() && !pause(ctx, acceptGap) {
+			conn.Close()
+			return false
 		}
-		c := f.add(conn)
-		f.group.Add(1)
-		go func() {
-			defer f.group.Done()
-			c.serve(ctx)
-		}()
 	}
 }
 
+func pause(ctx context.Context, span time.Duration) bool {
+	select {
+	case <-time.After(span):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (f *Front) run(ctx context.Context, c *client) {
+	f.group.Go(func() { c.serve(ctx) })
+}
+
 // add takes a connection in.
-func (f *Front) add(conn net.Conn) *client {
+func (f *Front) add(conn net.Conn) (*client, idle.Verdict) {
+	client, network := f.keep.find(conn.RemoteAddr())
+	f.places.Lock()
+	id, v := f.table.Open(time.Now().UnixNano(), client, network)
+	generation := uint32(0)
+	if v == idle.Taken {
+		generation = f.table.Generation(id)
+	}
+	f.places.Unlock()
+	if v != idle.Taken {
+		return nil, v
+	}
+	return f.enter(conn, id, generation, false), v
+}
+
+// enter makes a client of a connection that has a place in the table.
+func (f *Front) enter(conn net.Conn, id idle.ID, generation uint32, answered bool) *client {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.last++
 	now := time.Now()
-	c := &client{front: f, id: f.last, conn: conn, since: now, used: now, open: map[int32]bool{}, wake: make(chan struct{}, 1)}
+	c := &client{front: f, id: f.last, conn: conn, since: now, used: now, open: map[int32]bool{}, wake: make(chan struct{}, 1),
+		place: id, generation: generation, answered: answered, state: idle.Fresh}
 	f.clients[c.id] = c
+	f.places.Lock()
+	for len(f.at) <= int(id) {
+		f.at = append(f.at, place{fd: -1})
+	}
+	f.at[id] = place{client: c, fd: -1}
+	c.state = f.table.State(id)
+	f.places.Unlock()
+	if f.crowded && f.all() < f.limits.Connections/2 {
+		f.crowded = false
+		f.log("connections are far below their bound again")
+	}
 	return c
 }
 
-// room tells whether there is room for a connection. If there are too many, one that nobody needs makes room:
-// hundreds that say nothing, or are kept for good, kept usual clients out.
+// room has one that nobody needs make room: hundreds that say nothing, or are kept for good, kept usual clients out. It
+// tells whether there may be room now.
 func (f *Front) room() bool {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	if !f.crowded {
+		f.crowded = true
+		f.log(fmt.Sprintf("connections are at their bound of %d: who needs none makes room", f.limits.Connections))
+	}
+	f.mu.Unlock()
 	for range roomTries {
-		if len(f.clients) < f.limits.Connections {
-			if f.crowded && len(f.clients) < f.limits.Connections/2 {
-				f.crowded = false
-				f.log("connections are far below their bound again")
-			}
+		now := time.Now()
+		f.places.Lock()
+		if f.table.All() < f.limits.Connections {
+			f.places.Unlock()
 			return true
 		}
-		if !f.crowded {
-			f.crowded = true
-			f.log(fmt.Sprintf("connections are at their bound of %d: who needs none makes room", f.limits.Connections))
-		}
-		c := f.unneeded()
-		if c == nil {
+		id := f.table.Room(now.UnixNano(), int64(readingMost))
+		f.places.Unlock()
+		if id == idle.None {
 			return false
 		}
-		if c.takeOut() {
-			delete(f.clients, c.id)
-		}
+		f.evict(id)
 	}
 	return false
 }
@@ -177,8 +273,9 @@
 func (c *client) takeOut() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.lingering && pending(c.conn) {
+	if !c.lingering && (len(c.open) > 0 || len(c.queue) > 0 || c.writing || pending(c.conn)) {
 		c.reading, c.used = true, time.Now() // as its reader will find soon; looked at again and again it hid the others
+		c.settle()
 		return false
 	}
 	c.conn.Close()
@@ -198,35 +295,6 @@
 	return n > 0
 }
 
-// unneeded picks the connection to close for a new one: one that has had its last answer, else one that has not
-// asked for anything, else the one with nothing open for longest, else the oldest of those that have just come.
-func (f *Front) unneeded() (best *client) {
-	bestGrade, bestUsed := 0, time.Time{}
-	for _, c := range f.clients {
-		if grade, used := c.need(); grade > bestGrade || grade == bestGrade && grade > 0 && used.Before(bestUsed) {
-			best, bestGrade, bestUsed = c, grade, used
-		}
-	}
-	return best
-}
-
-// need grades how little a connection is needed, from 0, and tells since when.
-func (c *client) need() (int, time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case c.lingering:
-		return 4, c.used
-	case len(c.open) > 0 || len(c.queue) > 0 || c.writing || c.reading && time.Since(c.used) < readingMost:
-		return 0, c.used
-	case c.answered:
-		return 2, c.used
-	case time.Since(c.used) < readingMost:
-		return 1, c.used // its request may be on the way
-	}
-	return 3, c.used
-}
-
 // Answer writes a final answer to its client, if that is still there. It never waits.
 func (f *Front) Answer(a router.Answer) {
 	f.mu.Lock()
@@ -272,12 +340,12 @@
 func (f *Front) Flushed() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, c := range f.clients {
+	for _, c := range f.clients { // none that is parked: the lot knows what has come on those
 		if !c.flushed() {
 			return false
 		}
 	}
-	return true
+	return f.lot == nil || !f.lot.Ready()
 }
 
 // client is one connection.
@@ -301,6 +369,11 @@
 	ending    bool           // nothing more is read: it ends once all is answered
 	lingering bool           // it has had its last answer
 	gone      bool           // nothing more is queued
+	parking   bool           // it gives up its goroutines and buffers
+
+	place      idle.ID
+	generation uint32
+	state      idle.State // as the table has it
 }
 
 func (c *client) serve(ctx context.Context) {
@@ -313,6 +386,14 @@
 		c.write(ctx)
 	}()
 	err := c.read(ctx)
+	if errors.Is(err, errPark) {
+		c.signal()
+		<-written
+		if c.front.park(c) {
+			return
+		}
+		err = io.EOF
+	}
 	c.mu.Lock()
 	c.ending = true
 	if !c.offended && !endsReading(err) {
@@ -329,9 +410,7 @@
 	c.signal()
 	<-written
 	c.linger()
-	c.front.mu.Lock()
-	delete(c.front.clients, c.id)
-	c.front.mu.Unlock()
+	c.front.forget(c)
 	c.mu.Lock()
 	c.gone = true
 	c.front.queued.Add(-c.bytes)
@@ -367,6 +446,7 @@
 	}
 	c.mu.Lock()
 	c.lingering = true
+	c.settle()
 	c.mu.Unlock()
 	for end := time.Now().Add(lingerMost); time.Now().Before(end); time.Sleep(lingerGap) {
 		tcp.SetReadDeadline(end)
@@ -400,8 +480,15 @@
 			return errOffence
 		}
 		if _, err := in.Peek(1); err != nil {
-			if errors.Is(err, os.ErrDeadlineExceeded) && (!c.idle() || pending(c.conn)) {
-				continue
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				if !c.idle() || pending(c.conn) {
+					continue
+				}
+				if done, why := c.rest(); !done {
+					continue
+				} else if why != nil {
+					return why
+				}
 			}
 			return err
 		}
@@ -428,6 +515,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading, c.used = reading, time.Now()
+	c.settle()
 }
 
 // patience is until when the next request is waited for. One who connects and asks for nothing, or takes back all
@@ -436,7 +524,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if now := time.Now(); c.answered {
-		return now.Add(idleMost)
+		// Whether an idle one stays is the table's to say; here it is asked whether it rests.
+		return now.Add(time.Duration(idle.ParkAfter(int(c.front.waiting.Load()))))
 	} else if first := c.since.Add(newMost); now.Before(first) {
 		return first
 	} else {
@@ -522,6 +611,7 @@
 		return tooMany
 	}
 	c.excess, c.open[seq] = 0, true
+	c.settle()
 	return entered
 }
 
@@ -533,6 +623,7 @@
 	if delete(c.open, seq); c.ending {
 		c.signal()
 	}
+	c.settle()
 	return open
 }
 
@@ -593,6 +684,7 @@
 	c.bytes += size
 	c.front.queued.Add(size)
 	c.answered, c.used = true, time.Now()
+	c.settle()
 	if len(c.queue) > queueMost {
 		c.conn.Close() // it asks without end and reads nothing
 	}
@@ -617,7 +709,8 @@
 		c.mu.Lock()
 		batch, size := c.take()
 		c.writing = len(batch) > 0
-		over := c.ending && len(c.open) == 0 && len(batch) == 0
+		over := (c.ending || c.parking) && len(c.open) == 0 && len(batch) == 0
+		c.settle()
 		c.mu.Unlock()
 		if over {
 			return
--- /dev/null
+++ b/front/idle/table_test.go
@@ -0,0 +1,240 @@
+package idle
+
+import (
+	"math/rand/v2"
+	"testing"
+	"unsafe"
+)
+
+const ms = int64(1e6)
+
+func small(most int) *Table {
+	return New(Limits{Connections: most, Cores: 1}, []Keep{{Fresh: 2000 * ms, Idle: 10000 * ms},
+		{Fresh: 2000 * ms, Idle: 60000 * ms, Most: 3, PerClient: 2}}, 1)
+}
+
+func open(t *testing.T, table *Table, now int64, client uint64, network uint16) ID {
+	t.Helper()
+	id, v := table.Open(now, client, network)
+	if v != Taken {
+		t.Fatalf("refused: %d", v)
+	}
+	return id
+}
+
+func TestBounds(t *testing.T) {
+	table := small(5)
+	a := open(t, table, 0, 1, 1)
+	open(t, table, 0, 1, 1)
+	if _, v := table.Open(0, 1, 1); v != PerClient {
+		t.Errorf("a client's third: %d", v)
+	}
+	open(t, table, 0, 2, 1)
+	if _, v := table.Open(0, 3, 1); v != PerNetwork {
+		t.Errorf("a network's fourth: %d", v)
+	}
+	open(t, table, 0, 1, 0)
+	open(t, table, 0, 1, 9) // unknown networks are the first
+	if _, v := table.Open(0, 4, 0); v != Full {
+		t.Errorf("the sixth of five: %d", v)
+	}
+	was := table.Generation(a)
+	table.Gone(a)
+	table.Gone(a)
+	if b := open(t, table, 0, 7, 0); b != a || table.Generation(b) == was {
+		t.Errorf("place %d of generation %d used again as %d of %d", a, was, b, table.Generation(b))
+	}
+	if table.All() != 5 {
+		t.Errorf("%d", table.All())
+	}
+}
+
+func TestWhoMakesRoom(t *testing.T) {
+	table := small(10)
+	fresh, busy, idle, closing := open(t, table, 0, 1, 0), open(t, table, 1, 1, 0), open(t, table, 2, 1, 0), open(t, table, 3, 1, 0)
+	older := open(t, table, 3, 1, 0)
+	table.Move(3, older, Busy)
+	table.Move(4, older, Idle)
+	table.Move(4, busy, Busy)
+	table.Move(5, idle, Busy)
+	table.Move(6, idle, Idle)
+	table.Move(7, closing, Closing)
+	for _, want := range []ID{closing, fresh, older, idle} {
+		got := table.Room(1000*ms, 300*ms)
+		if got != want {
+			t.Fatalf("%d (%v) makes room, want %d (%v)", got, table.State(got), want, table.State(want))
+		}
+		table.Gone(got)
+	}
+	if got := table.Room(1000*ms, 300*ms); got != None {
+		t.Errorf("a busy one makes room: %d", got)
+	}
+	young := open(t, table, 1000*ms, 1, 0)
+	kept := open(t, table, 900*ms, 1, 0)
+	table.Move(900*ms, kept, Idle)
+	if got := table.Room(1100*ms, 300*ms); got != kept {
+		t.Errorf("one whose request may be on the way goes before an idle one: %d", got)
+	}
+	table.Gone(kept)
+	if got := table.Room(1100*ms, 300*ms); got != young {
+		t.Errorf("%d", got)
+	}
+}
+
+// Thirty thousand run out in the same instant: they are closed at the pace, slower while others wait for answers.
+func TestMassExpiryIsPaced(t *testing.T) {
+	const count = 30000
+	for _, crowded := range []bool{false, true} {
+		table := small(count)
+		for range count {
+			id := open(t, table, 0, 1, 0)
+			table.Move(0, id, Busy)
+			table.Move(0, id, Idle)
+		}
+		closed := 0
+		for now := int64(0); now < 20000*ms; now += ms {
+			for {
+				id, next := table.Expired(now, crowded)
+				if id == None {
+					if next <= now && table.All() > 0 {
+						t.Fatal("asked to come again at once")
+					}
+					break
+				}
+				if now < 10000*ms {
+					t.Fatalf("closed at %d ms", now/ms)
+				}
+				table.Gone(id)
+				closed++
+			}
+		}
+		want := closesPerCore * 10
+		if crowded {
+			want *= crowdedShare
+		}
+		if float64(closed) < 0.95*min(want, count) || float64(closed) > 1.05*want {
+			t.Errorf("crowded %v: %d closed in 10 s, %.0f are the pace", crowded, closed, want)
+		}
+	}
+}
+
+func TestSpreadKeepsThemApart(t *testing.T) {
+	table := New(Limits{Connections: 1000, Cores: 100}, []Keep{{Idle: 1000 * ms, Spread: 1000 * ms}}, 1)
+	for range 1000 {
+		table.Move(0, open(t, table, 0, 1, 0), Idle)
+	}
+	early := 0
+	for {
+		id, _ := table.Expired(1250*ms, false)
+		if id == None {
+			break
+		}
+		table.Gone(id)
+		early++
+	}
+	if early > 400 {
+		t.Errorf("%d of 1000 ran out within a quarter of the spread", early)
+	}
+}
+
+// One on which something came when its time was up goes on.
+func TestWokenInTheInstantOfItsExpiry(t *testing.T) {
+	table := small(10)
+	id := open(t, table, 0, 1, 0)
+	table.Move(0, id, Idle)
+	if got, _ := table.Expired(10000*ms, false); got != id {
+		t.Fatal("it does not expire")
+	}
+	table.Move(10000*ms, id, Busy)
+	if got, next := table.Expired(20000*ms, false); got != None || next < 1<<60 {
+		t.Errorf("a busy one expires: %d at %d", got, next)
+	}
+	table.Move(20000*ms, id, Idle)
+	if _, next := table.Expired(20000*ms, false); next != 30000*ms {
+		t.Errorf("it expires at %d ms", next/ms)
+	}
+}
+
+// Drawn changes against a plain list: counts, bounds and order.
+func TestAgainstAPlainList(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	table := small(50)
+	type plain struct {
+		state State
+		since int64
+	}
+	list := map[ID]plain{}
+	for now := int64(1); now < 20000; now++ {
+		if rng.IntN(3) == 0 {
+			if id, v := table.Open(now, rng.Uint64N(9), 0); v == Taken {
+				if _, been := list[id]; been {
+					t.Fatal("a place is used twice")
+				}
+				list[id] = plain{Fresh, now}
+			}
+		}
+		for id, p := range list {
+			switch rng.IntN(40) {
+			case 0:
+				table.Gone(id)
+				delete(list, id)
+			case 1, 2, 3:
+				s := State(rng.IntN(int(states)))
+				table.Move(now, id, s)
+				if s != p.state {
+					list[id] = plain{s, now}
+				}
+			}
+		}
+		var counts [states]int
+		oldest := int64(1 << 62)
+		for _, p := range list {
+			if counts[p.state]++; p.state == Idle {
+				oldest = min(oldest, p.since)
+			}
+		}
+		for s := range states {
+			if table.Count(s) != counts[s] {
+				t.Fatalf("%v: %d, want %d", s, table.Count(s), counts[s])
+			}
+		}
+		if id := table.oldest(Idle); id != None && table.Since(id) != oldest {
+			t.Fatalf("idle since %d, the oldest is %d", table.Since(id), oldest)
+		}
+	}
+}
+
+func TestEntriesAreSmallAndHoldNoPointer(t *testing.T) {
+	if size := unsafe.Sizeof(entry{}); size > 48 {
+		t.Errorf("%d bytes", size)
+	}
+}
+
+func TestAdmissionLeavesTheCoreToAnswers(t *testing.T) {
+	for crowded, want := range map[bool]float64{false: acceptsPerCore, true: acceptsPerCore * crowdedShare} {
+		a, taken := NewAdmission(1), 0.
+		for now := int64(0); now < 1e9; {
+			wait := a.Wait(now, crowded)
+			if wait == 0 {
+				taken++
+			}
+			now += wait
+		}
+		if taken < 0.95*want || taken > 1.1*want {
+			t.Errorf("crowded %v: %.0f taken in a second, want %.0f", crowded, taken, want)
+		}
+	}
+}
+
+func BenchmarkMove(b *testing.B) {
+	table := New(Limits{Connections: 100000, Cores: 1}, []Keep{{Idle: 1e9, Spread: 1e6}}, 1)
+	var ids []ID
+	for range 100000 {
+		id, _ := table.Open(0, 1, 0)
+		ids = append(ids, id)
+	}
+	for i := 0; b.Loop(); i++ {
+		table.Move(int64(i), ids[i%len(ids)], Busy)
+		table.Move(int64(i), ids[i%len(ids)], Idle)
+	}
+}
--- /dev/null
+++ b/front/park/park_other.go
@@ -0,0 +1,37 @@
+//go:build !linux
+
+// Package park holds idle connections as bare descriptors where the system has epoll; here it has not.
+package park
+
+import (
+	"context"
+	"errors"
+	"net"
+)
+
+// Lot is a set of parked connections.
+type Lot struct{}
+
+// New says that there is none.
+func New() (*Lot, error) { return nil, errors.ErrUnsupported }
+
+// Park is not to be had.
+func (*Lot) Park(net.Conn, uint64) (int, error) { return 0, errors.ErrUnsupported }
+
+// Watch is not to be had.
+func (*Lot) Watch(net.Conn, uint64) error { return errors.ErrUnsupported }
+
+// Wait is not to be had.
+func (*Lot) Wait(context.Context, []uint64) ([]uint64, error) { return nil, errors.ErrUnsupported }
+
+// Ready is never so.
+func (*Lot) Ready() bool { return false }
+
+// Resume is not to be had.
+func Resume(int) (net.Conn, error) { return nil, errors.ErrUnsupported }
+
+// Came is not to be had.
+func Came(int) (some, ended bool) { return false, false }
+
+// Close is not to be had.
+func Close(int) {}
--- /dev/null
+++ b/front/park/park_test.go
@@ -0,0 +1,95 @@
+//go:build linux
+
+package park
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+func pair(t *testing.T) (client, server net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if client, err = net.Dial("tcp", l.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { client.Close() })
+	if server, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	return client, server
+}
+
+func TestParkWakeAndResume(t *testing.T) {
+	ctx, stop := context.WithTimeout(t.Context(), 10*time.Second)
+	defer stop()
+	for _, early := range []bool{true, false} { // something came before it rested, or after
+		lot, err := New()
+		if err != nil {
+			t.Fatal(err)
+		}
+		client, server := pair(t)
+		if early {
+			client.Write([]byte("abc"))
+			time.Sleep(20 * time.Millisecond)
+		}
+		const key = 1<<63 | 7
+		fd, err := lot.Park(server, key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := server.Read(make([]byte, 1)); err == nil {
+			t.Error("the connection is still one")
+		}
+		if !early {
+			if lot.Ready() {
+				t.Error("ready, though nothing came")
+			}
+			client.Write([]byte("abc"))
+		}
+		keys, err := lot.Wait(ctx, nil)
+		if err != nil || len(keys) != 1 || keys[0] != key || !lot.Ready() {
+			t.Fatalf("%x, %v", keys, err)
+		}
+		if some, ended := Came(fd); !some || ended {
+			t.Errorf("came %v, ended %v", some, ended)
+		}
+		again, err := Resume(fd)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := make([]byte, 3)
+		if _, err := io.ReadFull(again, got); err != nil || string(got) != "abc" {
+			t.Errorf("%q, %v", got, err)
+		}
+		if _, err := again.Write([]byte("d")); err != nil {
+			t.Error(err)
+		}
+		if _, err := io.ReadFull(client, got[:1]); err != nil || got[0] != 'd' {
+			t.Errorf("%q, %v", got[:1], err)
+		}
+		again.Close()
+	}
+	if some, ended := Came(-1); some || !ended {
+		t.Error("a descriptor that is none is taken for a connection")
+	}
+	if _, err := Resume(-1); err == nil {
+		t.Error("a descriptor that is none was resumed")
+	}
+	lot, err := New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	short, stop2 := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer stop2()
+	if _, err := lot.Wait(short, nil); err == nil {
+		t.Error("it waits without end")
+	}
+}
--- /dev/null
+++ b/front/rest.go
@@ -0,0 +1,312 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/maphash"
+	"net"
+	"time"
+
+	"github.com/gaissmai/bart"
+
+	"tealpath/front/idle"
+	"tealpath/front/park"
+)
+
+// Keep is how connections are kept by their clients' networks.
+type Keep struct {
+	Networks []idle.Keep         // the first is for whoever is in no other
+	By       *bart.Table[uint16] // places in Networks; nil is none
+}
+
+var seed = maphash.MakeSeed()
+
+// find tells a client by a number, and its network.
+func (k *Keep) find(address net.Addr) (client uint64, network uint16) {
+	tcp, ok := address.(*net.TCPAddr)
+	if !ok {
+		return 0, 0
+	}
+	ip := tcp.AddrPort().Addr().Unmap()
+	if k.By != nil {
+		network, _ = k.By.Lookup(ip)
+	}
+	raw := ip.As16()
+	return maphash.Bytes(seed, raw[:]), network
+}
+
+// place is what a place of the table stands for: a client, or a parked descriptor.
+type place struct {
+	client *client
+	fd     int32 // -1: not parked
+}
+
+// wakeTries is for how many ms a connection that wakes waits for others to rest: usual ones that never do must not keep
+// it out.
+const wakeTries = 20
+
+// errPark ends the reading from a connection that is idle.
+var errPark = errors.New("front: idle")
+
+// settle tells the table what has become of a connection; the client is locked.
+func (c *client) settle() {
+	s := idle.Fresh
+	switch {
+	case c.lingering:
+		s = idle.Closing
+	case len(c.open) > 0 || len(c.queue) > 0 || c.writing:
+		s = idle.Busy
+	case c.reading:
+		s = idle.Reading
+	case c.answered:
+		s = idle.Idle
+	}
+	if s == c.state || c.gone {
+		return
+	}
+	c.state = s
+	c.front.places.Lock()
+	defer c.front.places.Unlock()
+	if c.front.holds(c.place, c.generation) {
+		c.front.table.Move(time.Now().UnixNano(), c.place, s)
+	}
+}
+
+// holds tells whether a place is still that of a generation; places are locked.
+func (f *Front) holds(id idle.ID, generation uint32) bool {
+	return f.table.Generation(id) == generation
+}
+
+// all is how many connections there are.
+func (f *Front) all() int {
+	f.places.Lock()
+	defer f.places.Unlock()
+	return f.table.All()
+}
+
+// rest says what an idle connection is to do whose reader has waited long enough: park, go on waiting, or end.
+func (c *client) rest() (done bool, why error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !c.answered:
+		return true, nil
+	case c.front.lot == nil || len(c.open) > 0 || len(c.queue) > 0 || c.writing || c.offended:
+		return false, nil // the table closes it when its time is up
+	}
+	c.parking, c.reading = true, false
+	c.settle()
+	return true, errPark
+}
+
+// park gives up all of a connection but its descriptor. It tells whether that is done.
+func (f *Front) park(c *client) bool {
+	key := uint64(uint32(c.place))<<32 | uint64(c.generation)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.places.Lock()
+	defer f.places.Unlock()
+	if !f.holds(c.place, c.generation) {
+		return false // it has made room
+	}
+	// Within the lock: what comes at once finds the place ready.
+	fd, err := f.lot.Park(c.conn, key)
+	if err != nil {
+		return false
+	}
+	f.at[c.place] = place{fd: int32(fd)}
+	delete(f.clients, c.id)
+	return true
+}
+
+// forget takes a client out.
+func (f *Front) forget(c *client) {
+	f.mu.Lock()
+	delete(f.clients, c.id)
+	f.mu.Unlock()
+	f.places.Lock()
+	defer f.places.Unlock()
+	if f.holds(c.place, c.generation) {
+		f.at[c.place] = place{fd: -1}
+		f.table.Gone(c.place)
+	}
+}
+
+// evict closes a connection that nobody needs, parked or not, unless something has come on it.
+func (f *Front) evict(id idle.ID) bool {
+	f.places.Lock()
+	c, fd := f.at[id].client, int(f.at[id].fd)
+	if c == nil {
+		defer f.places.Unlock()
+		if fd < 0 {
+			return false
+		}
+		if some, _ := park.Came(fd); some {
+			// In this very instant: the lot tells of it, and it is answered.
+			f.table.Move(time.Now().UnixNano(), id, idle.Busy)
+			return false
+		}
+		park.Close(fd)
+		f.at[id] = place{fd: -1}
+		f.table.Gone(id)
+		return true
+	}
+	f.places.Unlock()
+	if !c.takeOut() {
+		return false
+	}
+	f.mu.Lock()
+	delete(f.clients, c.id)
+	f.mu.Unlock()
+	f.places.Lock()
+	defer f.places.Unlock()
+	if f.holds(c.place, c.generation) && f.at[id].client == c {
+		f.at[id] = place{fd: -1}
+		f.table.Gone(id)
+	}
+	return true
+}
+
+// Counts is how many connections are in which state.
+type Counts struct {
+	All     int `json:"all"`
+	Fresh   int `json:"fresh"`
+	Busy    int `json:"busy"`
+	Reading int `json:"reading"`
+	Idle    int `json:"idle"`
+	Closing int `json:"closing"`
+	Parked  int `json:"parked"`  // of those that are idle: they hold a descriptor alone
+	Waiting int `json:"waiting"` // parked, with something come that is not taken in yet
+}
+
+// Counts tells how many connections are in which state.
+func (f *Front) Counts() Counts {
+	active := f.active()
+	f.places.Lock()
+	defer f.places.Unlock()
+	t := f.table
+	return Counts{All: t.All(), Fresh: t.Count(idle.Fresh), Busy: t.Count(idle.Busy), Reading: t.Count(idle.Reading),
+		Idle: t.Count(idle.Idle), Closing: t.Count(idle.Closing), Parked: max(0, t.All()-active), Waiting: int(f.waiting.Load())}
+}
+
+// key of a place, as the lot gives it back.
+func unkey(key uint64) (idle.ID, uint32) { return idle.ID(int32(key >> 32)), uint32(key) }
+
+// janitor wakes parked connections and closes those whose time is up, at the pace that the table sets.
+func (f *Front) janitor(ctx context.Context) {
+	if f.lot != nil {
+		f.group.Go(func() { f.watch(ctx) })
+	}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		const longest = 100 * time.Millisecond // new ones may expire sooner than what was waited for
+		wait := longest
+		for {
+			f.places.Lock()
+			id, next := f.table.Expired(time.Now().UnixNano(), f.limits.Crowded())
+			f.places.Unlock()
+			if id == idle.None {
+				wait = max(min(longest, time.Duration(next-time.Now().UnixNano())), time.Millisecond)
+				break
+			}
+			f.evict(id)
+		}
+		timer.Reset(wait)
+	}
+}
+
+// watch makes connections of parked ones on which something has come, so many at a time as the memory bears.
+func (f *Front) watch(ctx context.Context) {
+	most := idle.WakeMost(f.limits.Bytes)
+	var keys, queue []uint64
+	for {
+		var err error
+		if keys, err = f.lot.Wait(ctx, keys); err != nil {
+			if ctx.Err() == nil {
+				f.log("idle connections can't be waited for: " + err.Error())
+			}
+			return
+		}
+		queue = append(queue[:0], keys...)
+		f.waiting.Store(int64(len(queue)))
+		for _, key := range queue {
+			for tries := 0; f.active() >= most && tries < wakeTries; tries++ {
+				if !pause(ctx, time.Millisecond) {
+					return
+				}
+			}
+			f.resume(ctx, key)
+			f.waiting.Add(-1)
+		}
+	}
+}
+
+// active is how many connections hold goroutines and buffers.
+func (f *Front) active() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.clients)
+}
+
+// resume makes a connection of a parked one, or closes it if it has ended.
+func (f *Front) resume(ctx context.Context, key uint64) {
+	id, generation := unkey(key)
+	f.places.Lock()
+	if int(id) >= len(f.at) || !f.holds(id, generation) || f.at[id].fd < 0 {
+		f.places.Unlock()
+		return // it has made room, or its time was up
+	}
+	fd := int(f.at[id].fd)
+	if _, ended := park.Came(fd); ended {
+		park.Close(fd)
+		f.at[id] = place{fd: -1}
+		f.table.Gone(id)
+		f.places.Unlock()
+		return
+	}
+	f.at[id].fd = -1
+	f.table.Move(time.Now().UnixNano(), id, idle.Reading)
+	f.places.Unlock()
+	conn, err := park.Resume(fd)
+	if err != nil {
+		f.places.Lock()
+		defer f.places.Unlock()
+		f.table.Gone(id)
+		return
+	}
+	c := f.enter(conn, id, generation, true)
+	c.reading = true
+	f.run(ctx, c)
+}
+
+// closeParked closes what is parked at the end.
+func (f *Front) closeParked() {
+	f.places.Lock()
+	defer f.places.Unlock()
+	for id := range f.at {
+		if f.at[id].fd >= 0 {
+			park.Close(int(f.at[id].fd))
+			f.at[id].fd = -1
+		}
+	}
+}
+
+// refused logs that somebody was at a bound of the operator's, once in a while.
+func (f *Front) refused(v idle.Verdict) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	const every = 10 * time.Second
+	if f.refusals++; time.Since(f.refusedAt) < every {
+		return
+	}
+	bound := map[idle.Verdict]string{idle.PerClient: "a client", idle.PerNetwork: "a network"}[v]
+	f.log(fmt.Sprintf("connections refused at the operator's bound for %s, %d so far", bound, f.refusals))
+	f.refusedAt = time.Now()
+}
--- a/lab/cluster.go
+++ b/lab/cluster.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -45,8 +46,12 @@
 	Lease     time.Duration
 	Renewal   time.Duration
 	Period    time.Duration
-	Bare      bool // without an operator's file
-	Relays    bool // every way between two instances goes through a relay
+	Bare      bool   // without an operator's file
+	Relays    bool   // every way between two instances goes through a relay
+	File      string // operator's file instead of one that shares duties; %s is the socket
+	Sockets   int
+	MemoryMB  int
+	Core      int // to which instances are pinned; -1 is none
 }
 
 // Cluster is instances of the real program on loopback.
@@ -61,6 +66,10 @@
 	lives   map[string]int
 	lines   []Line
 	group   sync.WaitGroup
+	at      map[string]string // where each takes links
+	voters  string            // what stands in (voters …)
+	root    *keys.Root
+	clients map[string]string // where each takes clients
 }
 
 // free gives an address of 127.0.0.1 that nobody listens on now.
@@ -75,7 +84,8 @@
 
 // NewCluster makes a cluster's files and stand-ins; Start starts its instances.
 func NewCluster(s Setup) (*Cluster, error) {
-	c := &Cluster{Setup: s, Ways: map[[2]string]*relay.Relay{}, running: map[string]*exec.Cmd{}, lives: map[string]int{}}
+	s.Sockets, s.MemoryMB = cmp.Or(s.Sockets, 1024), cmp.Or(s.MemoryMB, 32)
+	c := &Cluster{Setup: s, clients: map[string]string{}, Ways: map[[2]string]*relay.Relay{}, running: map[string]*exec.Cmd{}, lives: map[string]int{}}
 	var err error
 	if c.journal, err = journal.Start(); err != nil {
 		return nil, err
@@ -95,7 +105,9 @@
 	if err != nil {
 		return nil, err
 	}
+	c.root = root
 	at := map[string]string{}
+	c.at = at
 	for i := range s.Instances {
 		name := fmt.Sprintf("n%02d", i)
 		c.Names = append(c.Names, name)
@@ -106,47 +118,61 @@
 			return nil, err
 		}
 	}
+	c.voters = fmt.Sprintf("(epoch 1) (now %s)", strings.Join(c.Names, " "))
 	for _, name := range c.Names {
-		if err := c.configure(name, at); err != nil {
+		if err := c.configure(name); err != nil {
 			return nil, err
 		}
 	}
 	return c, nil
 }
 
-// configure writes an instance's files. Each has the others at the relays that lead from it to them.
-func (c *Cluster) configure(name string, at map[string]string) error {
+// configure writes an instance's files.
+func (c *Cluster) configure(name string) error {
 	client, err := free()
 	if err != nil {
 		return err
 	}
-	config := fmt.Sprintf(`{"name":"%s","listen":"%s","seed":"07","limits":{"cores":1,"memory_mb":32,"sockets":1024},
+	config := fmt.Sprintf(`{"name":"%s","listen":"%s","seed":"07","limits":{"cores":1,"memory_mb":%d,"sockets":%d},
  "journal":"%s","known":%s,"settings":{"balancers":%d,"locality":"here","failureDomains":["here"],"machineTypes":["cache"],
  "familyInfo":{"zoneBalancers":[%d],"purgeTakesS":6},"limits":{"attemptsCap":6,"cancel":true,"mayProbe":true,"secondCopies":true,
  "retryAfter":true,"maxRetryAfterS":0.5,"dialTimeoutS":0.4,"connIdleS":30,"streamsPerConn":100,"maxOpen":1000},
  "report":{"fields":["inflight","x1","x0"]},
  "obligations":{"graceToAnswerS":0.008,"coldFrom":0.16,"warmUpS":17,"overloadFactor":2.5,"fallS":1.5},
  "profiles":[{"name":"stills","onTimeS":0.4,"deadlineS":1.2,"points":1,"effect":"retryable","keyScope":"all"}]}}`,
-		name, client, c.journal.Address(), c.journal.Known(), c.Instances, c.Instances)
+		name, client, c.MemoryMB, c.Sockets, c.journal.Address(), c.journal.Known(), c.Instances, c.Instances)
 	if err := os.WriteFile(c.path(name, ".json"), []byte(config), 0o600); err != nil {
 		return err
 	}
+	c.clients[name] = client
+	return c.operate(name)
+}
+
+// operate writes an instance's operator's file. It has the others at the relays that lead from it to them.
+func (c *Cluster) operate(name string) error {
+	if c.File != "" {
+		return os.WriteFile(c.path(name, ".sx"), fmt.Appendf(nil, c.File, name+".sock"), 0o600)
+	}
 	var lines strings.Builder
 	for _, other := range c.Names {
-		address := at[other]
+		address := c.at[other]
 		if c.Relays && other != name {
-			way, err := relay.Start(address)
-			if err != nil {
-				return err
+			pair := [2]string{name, other}
+			if c.Ways[pair] == nil {
+				way, err := relay.Start(address)
+				if err != nil {
+					return err
+				}
+				c.Ways[pair] = way
 			}
-			c.Ways[[2]string{name, other}], address = way, way.Address()
+			address = c.Ways[pair].Address()
 		}
 		fmt.Fprintf(&lines, "    (instance %s (at \"%s\"))\n", other, address)
 	}
-	file := fmt.Sprintf("(socket \"%s.sock\")\n(fleet\n  (instances\n%s  )\n  (voters (epoch 1) (now %s))\n  (slots %d) (lease %s) "+
+	file := fmt.Sprintf("(socket \"%s.sock\")\n(fleet\n  (instances\n%s  )\n  (voters %s)\n  (slots %d) (lease %s) "+
 		"(renewal %s) (drift 1%%)\n  (tls (certificate \"%s.pem\") (key \"%s.key\") (roots \"roots.pem\"))\n"+
 		"  (allow \"127.0.0.0/8\")\n  (probe (period %s) (within %s) (cold-part 5%%) (cost 1ms)))\n", name, lines.String(),
-		strings.Join(c.Names, " "), c.Slots, c.Lease, c.Renewal, name, name, c.Period, c.Period/2)
+		c.voters, c.Slots, c.Lease, c.Renewal, name, name, c.Period, c.Period/2)
 	return os.WriteFile(c.path(name, ".sx"), []byte(file), 0o600)
 }
 
@@ -168,7 +194,7 @@
 	if err != nil {
 		return err
 	}
-	if err := cmd.Start(); err != nil {
+	if err := startOn(cmd, c.Core); err != nil {
 		return err
 	}
 	c.mu.Lock()
--- a/lab/duties_test.go
+++ b/lab/duties_test.go
@@ -7,14 +7,20 @@
 	"time"
 )
 
-// Real instances on loopback: owners are killed, told to leave, frozen and cut off. What a busy machine can stretch is
-// held to twice the bound here; the tool holds it to the bound.
-func TestDutiesOfRealInstances(t *testing.T) {
+// build builds the real program.
+func build(t *testing.T) string {
+	t.Helper()
 	binary := filepath.Join(t.TempDir(), "tealpath")
 	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/tealpath").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
-	d := Duties{Setup: Setup{Binary: binary, Folder: t.TempDir(), Instances: 3, Caches: 5, Slots: 16, Lease: 1500 * time.Millisecond,
+	return binary
+}
+
+// Real instances on loopback: owners are killed, told to leave, frozen and cut off. What a busy machine can stretch is
+// held to twice the bound here; the tool holds it to the bound.
+func TestDutiesOfRealInstances(t *testing.T) {
+	d := Duties{Setup: Setup{Core: -1, Binary: build(t), Folder: t.TempDir(), Instances: 3, Caches: 5, Slots: 16, Lease: 1500 * time.Millisecond,
 		Renewal: 500 * time.Millisecond, Period: time.Second}, Kills: 5, Seed: 3, Out: t.TempDir(), Calm: 3 * time.Second, Process: t.Output()}
 	r, err := d.Run(t.Context())
 	if err != nil && r.Kills == 0 {
--- /dev/null
+++ b/lab/pin_other.go
@@ -0,0 +1,8 @@
+//go:build !linux
+
+package lab
+
+import "os/exec"
+
+// startOn starts a command; cores can't be chosen here.
+func startOn(cmd *exec.Cmd, _ int) error { return cmd.Start() }
--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -18,8 +18,9 @@
 
 // File is an operator's file.
 type File struct {
-	Socket string // path of the Unix socket; empty is none
-	Fleet  *Fleet // nil: instances don't talk
+	Socket string   // path of the Unix socket; empty is none
+	Fleet  *Fleet   // nil: instances don't talk
+	Idle   *Keeping // nil: connections are kept as the platform states it
 }
 
 // Fleet is how instances talk and share duties.
@@ -75,6 +76,7 @@
 	root := &Node{Place: Place{1, 1}, isList: true, List: []*Node{{Word: "file"}}}
 	f.walk(root, nodes, map[string]entry{
 		"socket": {take: f.text(&file.Socket)},
+		"idle":   {take: func(n *Node, args []*Node) { file.Idle = f.keeping(n, args) }},
 		"fleet":  {take: func(n *Node, args []*Node) { file.Fleet = f.fleet(n, args, name, folder) }},
 	})
 	if file.Socket != "" {
--- /dev/null
+++ b/operator/keep.go
@@ -0,0 +1,85 @@
+package operator
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/gaissmai/bart"
+
+	"tealpath/front/idle"
+)
+
+// Keeping is how clients' connections are kept.
+type Keeping struct {
+	Most     int         // in all; 0 is as without the file
+	Networks []idle.Keep // the first is for whoever is in no other
+	By       *bart.Table[uint16]
+	places   []Place // of the networks
+	at       Place
+}
+
+// What a file that says nothing of them means.
+const (
+	usualIdle   = 10 * time.Second
+	usualSpread = time.Second
+)
+
+func (f *faults) keeping(n *Node, args []*Node) *Keeping {
+	out := &Keeping{By: &bart.Table[uint16]{}, at: n.Place, places: []Place{n.Place},
+		Networks: []idle.Keep{{Idle: int64(usualIdle), Spread: int64(usualSpread)}}}
+	most := int64(0)
+	common := func(k *idle.Keep, clients *int64) map[string]entry {
+		return map[string]entry{"after": {take: f.span(&k.Idle, time.Second, 7*24*time.Hour)},
+			"spread": {take: f.span(&k.Spread, 0, time.Hour)}, "per-client": {take: f.whole(clients, 1, 1<<20)}}
+	}
+	var clients int64
+	known := common(&out.Networks[0], &clients)
+	known["most"] = entry{take: f.whole(&most, 1, 1<<20)}
+	var nets []*Node
+	known["network"] = entry{repeated: true, take: func(n *Node, _ []*Node) { nets = append(nets, n) }}
+	f.walk(n, args, known)
+	out.Most, out.Networks[0].PerClient = int(most), int(clients)
+	for _, n := range nets {
+		// What a network does not say is as for all.
+		k, most, clients := out.Networks[0], int64(0), int64(out.Networks[0].PerClient)
+		if len(n.List) < 2 || n.List[1].isList {
+			f.add(n.Place, "(network …) takes a network such as \"10.0.0.0/8\" first")
+			continue
+		}
+		p, err := netip.ParsePrefix(n.List[1].Word)
+		if err != nil || p != p.Masked() {
+			f.add(n.List[1].Place, "%s is no network", n.List[1])
+			continue
+		}
+		known := common(&k, &clients)
+		known["most"] = entry{take: f.whole(&most, 1, 1<<20)}
+		f.walk(n, n.List[2:], known)
+		if _, twice := out.By.Get(p); twice {
+			f.add(n.Place, "network %s stands twice", p)
+		}
+		k.Most, k.PerClient = int(most), int(clients)
+		out.By.Insert(p, uint16(len(out.Networks)))
+		out.Networks, out.places = append(out.Networks, k), append(out.places, n.Place)
+	}
+	return out
+}
+
+// Fits checks what is to be kept against what the process has. usual is how many connections there may be if the file
+// does not say.
+func (f *File) Fits(b idle.Bounds, usual int) error {
+	k := f.Idle
+	if k == nil {
+		return nil
+	}
+	if k.Most == 0 {
+		k.Most = usual
+	}
+	if at, err := b.Check(k.Most, k.Networks); err != nil {
+		place := k.at
+		if at >= 0 {
+			place = k.places[at]
+		}
+		return Fault{place, err.Error()}
+	}
+	return nil
+}
--- a/process/process.go
+++ b/process/process.go
@@ -134,9 +134,11 @@
 	}
 	report, _ := p.config.Settings["report.fields"].([]string)
 	p.pool = upstream.New(ctx, report, post)
-	p.front = front.New(listener, front.Limits{Connections: int(clientShare * float64(p.sockets())),
+	connections, keep := p.keeping()
+	p.front = front.New(listener, front.Limits{Connections: connections, Keep: keep,
 		Open:  openMost,
-		Bytes: int64(p.bytes(answerShare))}, post, p.line)
+		Bytes: int64(p.bytes(answerShare)), Cores: p.config.Cores, Seed: p.config.Seed,
+		Crowded: func() bool { return len(p.inbox) >= inboxMost/2 }}, post, p.line)
 	if p.file != nil && p.file.Fleet != nil {
 		p.shared, err = newSharing(ctx, p.file, p.config.Settings, p.log, func(e router.Event) {
 			select { // a probe's result is not worth waiting for
@@ -151,6 +153,13 @@
 		p.shared.list(p.router.Listings(), p.config.Settings)
 		group.Go(func() error { return p.shared.run(ctx, leave) })
 	}
+	if p.file != nil && p.file.Socket != "" {
+		handlers := map[string]operator.Handler{"connections": p.connections}
+		if p.shared != nil {
+			handlers["duties"] = p.shared.status
+		}
+		group.Go(func() error { return operator.Serve(ctx, p.file.Socket, handlers) })
+	}
 	p.enter(Serving)
 	p.front.SetReady(p.listed)
 	group.Go(func() error {
@@ -175,6 +184,37 @@
 	return err
 }
 
+// keeping is how many connections clients may hold, and how they are kept; nil is as the platform states it.
+func (p *Process) keeping() (int, *front.Keep) {
+	usual := int(clientShare * float64(p.sockets()))
+	if p.file == nil || p.file.Idle == nil {
+		return usual, nil
+	}
+	k := p.file.Idle
+	keep := &front.Keep{By: k.By}
+	for _, n := range k.Networks {
+		n.Fresh = front.FreshMost
+		keep.Networks = append(keep.Networks, n)
+	}
+	return cmp.Or(k.Most, usual), keep
+}
+
+// Connections is what a process says of its connections and of what they cost.
+type Connections struct {
+	front.Counts
+	Goroutines int    `json:"goroutines"`
+	HeapBytes  uint64 `json:"heap_bytes"` // in use after a collection
+	StackBytes uint64 `json:"stack_bytes"`
+}
+
+// connections answers how many connections there are. It has the collector run: it is for people and experiments.
+func (p *Process) connections(context.Context, []string) (any, error) {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return Connections{p.front.Counts(), runtime.NumGoroutine(), m.HeapAlloc, m.StackInuse}, nil
+}
+
 // reload takes the journal service's address from the configuration as it is now. All else is in force from the
 // next start on; one that cannot be used changes nothing.
 func (p *Process) reload(ctx context.Context, load func() (*config.Config, *operator.File, error), journal *feed.Feed) {
--- a/process/sharing.go
+++ b/process/sharing.go
@@ -13,11 +13,13 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"tealpath/config"
 	"tealpath/control"
 	"tealpath/fleet"
 	"tealpath/fleet/duty"
 	"tealpath/fleet/peer"
 	"tealpath/fleet/probe"
+	"tealpath/front/idle"
 	"tealpath/operator"
 	"tealpath/router"
 	"tealpath/upstream"
@@ -64,10 +66,13 @@
 	return fallback
 }
 
-// Bind checks an operator's file against the deployment's settings.
-func Bind(file *operator.File, set control.Settings) error {
-	cache, parent := coldOf(set)
-	return file.Bound(setting(set, "probe", false), cache, parent)
+// Bind checks an operator's file against a configuration: the deployment's settings and the limits.
+func Bind(file *operator.File, c *config.Config) error {
+	cache, parent := coldOf(c.Settings)
+	p := New(c, file, zerolog.Nop())
+	return errors.Join(file.Bound(setting(c.Settings, "probe", false), cache, parent),
+		file.Fits(idle.Bounds{Descriptors: int(p.sockets()), Links: int(linkShare * float64(p.sockets())), Memory: int64(p.bytes(1))},
+			int(clientShare*float64(p.sockets()))))
 }
 
 // newSharing makes the fleet's part of a process, with its listener open.
@@ -155,11 +160,6 @@
 func (s *sharing) run(ctx context.Context, leave <-chan struct{}) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.links.Run(ctx) })
-	if s.file.Socket != "" {
-		group.Go(func() error {
-			return operator.Serve(ctx, s.file.Socket, map[string]operator.Handler{"duties": s.status})
-		})
-	}
 	group.Go(func() error {
 		timer := time.NewTimer(0)
 		defer timer.Stop()
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,7 @@
 	"tealpath/control"
 	"tealpath/resp"
 	"tealpath/router"
+	"tealpath/standin/cache"
 )
 
 func TestFetch(t *testing.T) {
@@ -216,3 +218,30 @@
 		t.Errorf("%d queued, unsent %v", len(l.queue), got)
 	}
 }
+
+// A probe that may no longer be sent once its connection stands is not written.
+func TestAlive(t *testing.T) {
+	c, err := cache.Start("s-a", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	if _, err := Alive(ctx, c.Address(), "00000000000000ff", nil, func() bool { return false }); !errors.Is(err, ErrWithdrawn) {
+		t.Errorf("%v", err)
+	}
+	load, err := Alive(ctx, c.Address(), "00000000000000ff", []string{"x0", "inHand"}, func() bool { return true })
+	if err != nil || len(load) != 2 || load[0] != 0.5 {
+		t.Errorf("%v %v", load, err)
+	}
+	if got := c.Probes(); len(got) != 1 || got[0].Tag != "00000000000000ff" {
+		t.Errorf("%v", got)
+	}
+	c.Hang(true)
+	short, stop := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer stop()
+	if _, err := Alive(short, c.Address(), "1", nil, func() bool { return true }); err == nil {
+		t.Error("a silent member is taken for alive")
+	}
+}
