--- a/fleet/member/member_test.go
+++ b/fleet/member/member_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 )
 
@@ -162,11 +163,11 @@
 	}
 }
 
-// Word of former starts must die out, also where many forget and hear anew: it went round without end, and every
-// name that had been restarted counted as doubled from then on.
+// Word of former starts must die out, also where it is late on its way and many forget and hear anew: it went round
+// without end, and every name that had been restarted counted as doubled from then on.
 func TestWordOfFormerStartsDiesOut(t *testing.T) {
 	var names []string
-	for i := range 12 {
+	for i := range 16 {
 		names = append(names, fmt.Sprintf("m%02d", i))
 	}
 	tables := map[string]*Table{}
@@ -175,16 +176,38 @@
 	for _, name := range names {
 		start(name)
 	}
-	play(tables, 0, 10*interval, nil)
-	for i, name := range names {
-		start(name)
-		play(tables, int64(10+i)*interval, int64(11+i)*interval, nil)
+	type letter struct {
+		at      int64
+		to      string
+		entries []Entry
+	}
+	var mail []letter
+	rng := rand.New(rand.NewPCG(1, 1))
+	const end = 150 * interval
+	for now := int64(0); now < end; now += interval / 10 {
+		if n := now / interval; now%interval == 0 && n >= 10 && n < 42 {
+			start(names[n%16])
+		}
+		later := mail[:0:0]
+		for _, l := range mail {
+			if l.at > now {
+				later = append(later, l)
+			} else {
+				tables[l.to].Heard(now, l.entries)
+			}
+		}
+		mail = later
+		for _, name := range names {
+			tell, _ := tables[name].Tick(now)
+			for _, b := range tell {
+				mail = append(mail, letter{now + rng.Int64N(4*interval), b.To, b.Entries})
+			}
+		}
 	}
-	play(tables, 22*interval, 60*interval, nil)
-	for name, other := range tables {
+	for _, name := range names {
 		for _, of := range names {
-			if other.Doubled(60*interval, of) {
-				t.Errorf("%s takes %s for doubled, 38 intervals after the last restart", name, of)
+			if tables[name].Doubled(end, of) {
+				t.Errorf("%s takes %s for doubled, 108 intervals after the last restart", name, of)
 			}
 		}
 	}
--- a/front/idle/pace.go
+++ b/front/idle/pace.go
@@ -79,6 +79,10 @@
 	wakeMemShare = 0.5 // of the front's share of the memory
 )
 
+// WakeTries is for how many ms a connection that wakes waits for others to rest: usual ones that never do must not keep
+// it out.
+const WakeTries = 20
+
 // ParkAfter is how long a connection that is idle keeps its buffers and goroutines, with so many waiting to be woken and
 // so many of most that hold some.
 func ParkAfter(waiting, active, most int) int64 {
--- a/front/rest.go
+++ b/front/rest.go
@@ -42,10 +42,6 @@
 	fd     int32 // -1: not parked
 }
 
-// wakeTries is for how many ms a connection that wakes waits for others to rest: usual ones that never do must not keep
-// it out.
-const wakeTries = 20
-
 // errPark ends the reading from a connection that is idle.
 var errPark = errors.New("front: idle")
 
@@ -264,7 +260,7 @@
 				return false
 			}
 		}
-		for tries := 0; f.active() >= most && tries < wakeTries; tries++ {
+		for tries := 0; f.active() >= most && tries < idle.WakeTries; tries++ {
 			if !pause(ctx, time.Millisecond) {
 				return false
 			}
