Last answers of a planned restart have time to be written; built as the full fleet asks

Which connection was hit is chance: of 70 routers that ended so, those where the closing ran before the writer.

Lines: process.go gave Leaving{By: longest+drainSlack} and ended at left > longest+drainSlack without asking whether all is written: one moment for both.

--- a/process/process.go
+++ b/process/process.go
@@ -21,6 +21,7 @@
 	"tealpath/feed"
 	"tealpath/front"
 	"tealpath/operator"
+	plan "tealpath/plan/leave"
 	"tealpath/router"
 	"tealpath/upstream"
 )
@@ -38,14 +39,6 @@
 
 func (p Phase) String() string { return []string{"starting", "serving", "draining", "stopped"}[p] }
 
-// What the platform states of a planned restart: how long requests go on coming after SIGTERM, and by when
-// all must be answered.
-const (
-	stillComing = 700 * time.Millisecond
-	drainMost   = 3 * time.Second
-	drainSlack  = 500 * time.Millisecond
-)
-
 // clientAlive is how the system asks whether a client is there: a peer that vanished is found within 150 s, as with Go's
 // own 15 s. At that a hundred thousand idle connections took 6,700 segments a second to be asked.
 var clientAlive = net.KeepAliveConfig{Enable: true, Idle: 90 * time.Second, Interval: 20 * time.Second, Count: 3}
@@ -289,21 +282,22 @@
 func (p *Process) reduce(ctx context.Context, leave <-chan struct{}) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	var leftAt time.Time
+	var leaving *plan.Plan // nil: not leaving
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-leave:
-			leave, leftAt = nil, time.Now()
+			now := time.Now().UnixNano()
+			leave, leaving = nil, plan.New(now, p.longest())
 			p.enter(Draining)
 			p.front.SetReady(false)
-			p.handle(leftAt.UnixNano(), router.Leaving{By: leftAt.Add(p.longest() + drainSlack).UnixNano()}, timer)
+			p.handle(now, router.Leaving{By: leaving.AnswerBy()}, timer)
 		case a := <-p.inbox:
 			p.handle(a.at, a.event, timer)
 			if _, list := a.event.(router.Listed); list && !p.listed {
 				p.listed = true
-				p.front.SetReady(leftAt.IsZero())
+				p.front.SetReady(leaving == nil)
 			}
 			if _, list := a.event.(router.Listed); list && p.shared != nil {
 				p.shared.list(p.router.Listings(), p.config.Settings)
@@ -311,22 +305,25 @@
 		case <-timer.C:
 			p.handle(time.Now().UnixNano(), router.Due{}, timer)
 		}
-		left := time.Since(leftAt)
-		if !leftAt.IsZero() && left > stillComing && p.router.Hands() == 0 && len(p.inbox) == 0 &&
-			(p.front.Flushed() || left > p.longest()+drainSlack) {
+		if leaving == nil {
+			continue
+		}
+		s := plan.State{Hands: p.router.Hands(), Queued: len(p.inbox)}
+		s.Flushed = s.Hands == 0 && s.Queued == 0 && p.front.Flushed()
+		if leaving.Over(time.Now().UnixNano(), s) {
 			return nil
 		}
 	}
 }
 
-// longest is the longest time that a client may wait for what it asked before SIGTERM.
+// longest is the longest time that a client may wait.
 func (p *Process) longest() time.Duration {
 	most := time.Duration(0)
 	stops, _ := p.config.Settings["product.hardStop"].([]int64)
 	for _, stop := range stops {
 		most = max(most, time.Duration(stop))
 	}
-	return min(most, drainMost)
+	return most
 }
 
 func (p *Process) handle(at int64, e router.Event, timer *time.Timer) {
