Idle connections outlive their second rest; what the system refuses is borne and said once

Cause: a resting descriptor was never taken out of the readiness set when it woke, as its socket lives on by another number. Parked again under the same number it was refused (EEXIST) after its connection had been closed: 33 of 300 idle connections ended at their second rest, seen by counting them in TestIdleConnectionsHoldNoGoroutine on the text before (267 left).

Change: Lot.Resume takes the descriptor out of the set; Park closes the connection last, so that after a refusal it is as it was; the front then stops resting connections, says so once, and wakes those that rest if the set can't be waited for.

--- a/front/front.go
+++ b/front/front.go
@@ -87,12 +87,13 @@
 	crowded bool // connections are at their bound
 	group   sync.WaitGroup
 
-	lot       *park.Lot // nil: the system has none
-	admit     *idle.Admission
-	holding   atomic.Int64 // connections that have goroutines
-	waiting   atomic.Int64 // parked connections on which something has come that is not taken in yet
-	refusals  int
-	refusedAt time.Time
+	lot            *park.Lot // nil: the system has none
+	refusesParking atomic.Bool
+	admit          *idle.Admission
+	holding        atomic.Int64 // connections that have goroutines
+	waiting        atomic.Int64 // parked connections on which something has come that is not taken in yet
+	refusals       int
+	refusedAt      time.Time
 
 	places sync.Mutex // locked last, for moments; guards what follows
 	table  *idle.Table
@@ -112,8 +113,10 @@
 		reading: semaphore.NewWeighted(max(limits.Bytes, thrift.FrameMost)), clients: map[router.ClientID]*client{},
 		admit: idle.NewAdmission(limits.Cores),
 		table: idle.New(idle.Limits{Connections: limits.Connections, Cores: limits.Cores}, limits.Keep.Networks, limits.Seed)}
-	if lot, err := park.New(); err == nil {
-		f.lot = lot
+	lot, err := park.New()
+	if f.lot = lot; err != nil {
+		f.lot = nil
+		f.noParking(err)
 	}
 	return f
 }
@@ -385,19 +388,25 @@
 	defer c.conn.Close()
 	stop := context.AfterFunc(ctx, func() { c.conn.Close() })
 	defer stop()
-	written := make(chan struct{})
-	go func() {
-		defer close(written)
-		c.write(ctx)
-	}()
-	err := c.read(ctx)
-	if errors.Is(err, errPark) {
+	var written chan struct{}
+	var err error
+	for {
+		written = make(chan struct{})
+		go func() {
+			defer close(written)
+			c.write(ctx)
+		}()
+		if err = c.read(ctx); !errors.Is(err, errPark) {
+			break
+		}
 		c.signal()
 		<-written
 		if c.front.park(c) {
 			return
 		}
-		err = io.EOF
+		c.mu.Lock()
+		c.parking = false // where the system refuses; one that has made room ends by its next read
+		c.mu.Unlock()
 	}
 	c.mu.Lock()
 	c.ending = true
--- a/front/park/park_linux.go
+++ b/front/park/park_linux.go
@@ -38,7 +38,7 @@
 }
 
 // Park takes a connection's descriptor and closes the connection; key comes back with what comes on it, at once if
-// something has come already. From then on the caller owns the descriptor.
+// something has come already. From then on the caller owns the descriptor. With an error the connection is as it was.
 func (l *Lot) Park(conn net.Conn, key uint64) (fd int, err error) {
 	c, ok := conn.(syscall.Conn)
 	if !ok {
@@ -55,15 +55,14 @@
 	if err != nil {
 		return 0, err
 	}
-	// Closing the connection closes its own descriptor only: the socket lives on by the second one.
-	if err := conn.Close(); err != nil {
-		unix.Close(fd)
-		return 0, err
-	}
+	// Before the connection is closed: where the system refuses, it stays as it was.
 	if err := l.add(fd, key); err != nil {
 		unix.Close(fd)
 		return 0, err
 	}
+	// Closing the connection closes its own descriptor only: the socket lives on by the second one. It may end by an
+	// error of its own; the second one tells of that.
+	conn.Close()
 	return fd, nil
 }
 
@@ -129,7 +128,10 @@
 }
 
 // Resume makes a connection of a parked descriptor again, which is closed either way.
-func Resume(fd int) (net.Conn, error) {
+func (l *Lot) Resume(fd int) (net.Conn, error) {
+	// Closing does not take it out of the set, as the socket lives on by another descriptor: parked again under the same
+	// number it was refused as known, and one in nine idle connections was closed at its second rest.
+	unix.EpollCtl(l.fd, unix.EPOLL_CTL_DEL, fd, nil)
 	file := os.NewFile(uintptr(fd), "")
 	if file == nil {
 		return nil, fmt.Errorf("descriptor %d", fd)
--- a/front/park/park_other.go
+++ b/front/park/park_other.go
@@ -28,7 +28,7 @@
 func (*Lot) Ready() bool { return false }
 
 // Resume is not to be had.
-func Resume(int) (net.Conn, error) { return nil, errors.ErrUnsupported }
+func (*Lot) Resume(int) (net.Conn, error) { return nil, errors.ErrUnsupported }
 
 // Came is not to be had.
 func Came(int) (some, ended bool) { return false, false }
--- a/front/park/park_test.go
+++ b/front/park/park_test.go
@@ -61,7 +61,7 @@
 		if some, ended := Came(fd); !some || ended {
 			t.Errorf("came %v, ended %v", some, ended)
 		}
-		again, err := Resume(fd)
+		again, err := lot.Resume(fd)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -80,13 +80,13 @@
 	if some, ended := Came(-1); some || !ended {
 		t.Error("a descriptor that is none is taken for a connection")
 	}
-	if _, err := Resume(-1); err == nil {
-		t.Error("a descriptor that is none was resumed")
-	}
 	lot, err := New()
 	if err != nil {
 		t.Fatal(err)
 	}
+	if _, err := lot.Resume(-1); err == nil {
+		t.Error("a descriptor that is none was resumed")
+	}
 	short, stop2 := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer stop2()
 	if _, err := lot.Wait(short, nil); err == nil {
--- a/front/rest.go
+++ b/front/rest.go
@@ -88,7 +88,7 @@
 	switch {
 	case !c.answered:
 		return true, nil
-	case c.front.lot == nil || len(c.open) > 0 || len(c.queue) > 0 || c.writing || c.offended:
+	case !c.front.parks() || len(c.open) > 0 || len(c.queue) > 0 || c.writing || c.offended:
 		return false, nil // the table closes it when its time is up
 	}
 	c.parking, c.reading = true, false
@@ -96,6 +96,31 @@
 	return true, errPark
 }
 
+// parks tells whether idle connections can rest here.
+func (f *Front) parks() bool { return f.lot != nil && !f.refusesParking.Load() }
+
+// noParking has idle connections keep what they hold from now on: the system refuses what resting takes. It says so once.
+func (f *Front) noParking(why error) {
+	if !f.refusesParking.Swap(true) {
+		f.log("idle connections keep their buffers, the system lets them rest no more: " + why.Error())
+	}
+}
+
+// wakeAll makes connections of all that rest: nothing tells any more what comes on them.
+func (f *Front) wakeAll(ctx context.Context) {
+	f.places.Lock()
+	var keys []uint64
+	for id := range f.at {
+		if f.at[id].fd >= 0 {
+			keys = append(keys, uint64(uint32(id))<<32|uint64(f.table.Generation(idle.ID(id))))
+		}
+	}
+	f.places.Unlock()
+	for _, key := range keys {
+		f.resume(ctx, key)
+	}
+}
+
 // park gives up all of a connection but its descriptor. It tells whether that is done.
 func (f *Front) park(c *client) bool {
 	key := uint64(uint32(c.place))<<32 | uint64(c.generation)
@@ -109,6 +134,7 @@
 	// Within the lock: what comes at once finds the place ready.
 	fd, err := f.lot.Park(c.conn, key)
 	if err != nil {
+		f.noParking(err)
 		return false
 	}
 	f.at[c.place] = place{fd: int32(fd)}
@@ -227,7 +253,8 @@
 		var err error
 		if keys, err = f.lot.Wait(ctx, keys); err != nil {
 			if ctx.Err() == nil {
-				f.log("idle connections can't be waited for: " + err.Error())
+				f.noParking(err)
+				f.wakeAll(ctx)
 			}
 			return
 		}
@@ -314,7 +341,7 @@
 	f.at[id].fd = -1
 	f.table.Move(time.Now().UnixNano(), id, idle.Reading)
 	f.places.Unlock()
-	conn, err := park.Resume(fd)
+	conn, err := f.lot.Resume(fd)
 	if err != nil {
 		f.places.Lock()
 		defer f.places.Unlock()
--- a/front/rest_test.go
+++ b/front/rest_test.go
@@ -91,6 +91,9 @@
 		t.Errorf("not answered after its rest: %v", err)
 	}
 	until(t, "all are parked again", func() bool { return f.active() == 0 })
+	if f.all() != 300 {
+		t.Errorf("%d connections after their second rest", f.all())
+	}
 }
 
 func TestParkedConnectionsEnd(t *testing.T) {
--- a/lab/ways.go
+++ b/lab/ways.go
@@ -162,7 +162,7 @@
 	}
 	var resumed []net.Conn
 	go wakes(ctx, lot, func(key uint64) {
-		if c, err := park.Resume(int(fds[key])); err == nil {
+		if c, err := lot.Resume(int(fds[key])); err == nil {
 			fds[key] = -1
 			resumed = append(resumed, c)
 			woken <- int(key)
