Cold shares are saved up, caches asked for what they hold, the origin where parents deny

Harmless in one router, harmful in all. - 57% of the answers to likely fills are hits: thin slices don't know what is kept. The room for fills is full of fills that wait for the six parents left (5,700 denials), and next() turned the hits away with them. - a fill denied by its parent was given up for want of savings in afford(), though the origin stood idle.

TestSmallSharesOfAColdBudgetAreSavedUp plays 300 routers, also all in one moment.

--- a/control/control.go
+++ b/control/control.go
@@ -55,6 +55,7 @@
 	sharingSpan  = 2 * second
 	sharingLeast = 20.  // dispatches in hand beside those answered, over the span, that tell of the sharers
 	muteFrom     = 1.5  // answers gone missing lately from which a second dispatch is sent to what is overdue
+	deniedFrom   = 1.5  // fills denied by parents lately from which the origin is asked for what has no room
 	overdueShare = 0.6  // of the due time after which it is
 	wellShare    = 0.03 // failures for each success up to which a member is well
 	guardMargin  = 0.6  // part of a cold budget that is used: weights are rough, and chance needs room
@@ -161,12 +162,18 @@
 // next picks the next dispatch of a retrieval that has none out, or holds it, or gives it up.
 func (r *Router) next(now int64, t *Retrieval) Decision {
 	cache, source := r.place(now, t)
+	if n := len(t.dispatches); n > 0 && t.dispatches[n-1].source == nil && r.origin != nil && cache != nil &&
+		!t.missed && r.denials.at(now) > deniedFrom && !r.room(now, t, cache) && r.originStands() {
+		source, t.missed = r.origin, true // its home does not hold it, and parents are at their bounds
+	}
 	switch {
 	case !r.repeatable(now, t) || now >= t.unwrittenMost():
 	case cache != nil && r.room(now, t, cache):
 		if r.afford(t) {
 			return r.send(now, t, cache, source)
 		}
+	case cache != nil && r.mayHold(now, t, cache):
+		return r.send(now, t, cache, nil)
 	case now < t.arrived+t.product.due/8 && now+2*holdStep < t.unwrittenMost():
 		// What waited longer was late after all; never past the client's own time: one was lost so.
 		return Decision{}
@@ -204,6 +211,16 @@
 	return load < limit
 }
 
+// mayHold tells whether a retrieval for which there is no room as a fill is to ask its home for what that
+// holds. In a thin slice what is kept is unknown: half of what was taken for fills were hits, and a jam of
+// the sources turned all away. Only where any copy that the cache may serve will do, and nothing was asked
+// yet.
+func (r *Router) mayHold(now int64, t *Retrieval, cache *member) bool {
+	age, _ := r.age(now, t)
+	return t.kind(now) == fills && len(t.dispatches) == 0 && !t.product.neverKept && !t.Write &&
+		(age == 0 || t.product.fresh > 0 && age >= t.product.fresh) && r.load(now, cache) < r.rooms[hits]*roomCheap
+}
+
 // kind tells which room the next dispatch counts in: that of likely hits, of likely fills, or of fetches from
 // the origin, once the source has said that it lacks the object.
 func (t *Retrieval) kind(now int64) int {
@@ -252,7 +269,8 @@
 	switch n := len(t.dispatches); {
 	case n == 0:
 		r.spare = min(r.spare+furtherShare*t.product.payoff/r.most(payoff), furtherMost)
-	case n < 3 && slices.Contains([]Result{Missing, Cut, Broken}, t.dispatches[n-1].result): // no sign of a jam
+	case n < 3 && (t.denied() || slices.Contains([]Result{Missing, Cut, Broken}, t.dispatches[n-1].result)):
+		// no sign of a jam
 	case r.spare < 1:
 		return false
 	default:
@@ -288,7 +306,7 @@
 
 // overdue tells whether a dispatch may have lost its answer, as some do of late, and a second can be in time.
 func (r *Router) overdue(now int64, t *Retrieval, d *dispatch) bool {
-	return fade(r.mute, now-r.muteAt, keepSpan) > muteFrom && get(r.set, "dispatches.together", false) &&
+	return r.mute.at(now) > muteFrom && get(r.set, "dispatches.together", false) &&
 		d.cache.well() && d.source.well() && float64(now-d.sent) > overdueShare*float64(r.dueIn(t, 0))
 }
 
@@ -367,12 +385,24 @@
 		}
 	}
 	sources := rank(t.entry.key, r.parents)
-	if r.origin != nil {
+	if r.origin != nil && t.denied() && r.originStands() {
+		sources = []*member{r.origin}
+	} else if r.origin != nil {
 		sources = append(sources, r.origin)
 	}
 	return cache, r.pick(now, t, sources)
 }
 
+// denied tells whether the last dispatch found its source at its bound or dead. The other parents are likely
+// no better: one who can't fall over, the origin, is asked.
+func (t *Retrieval) denied() bool {
+	n := len(t.dispatches)
+	return n > 0 && t.dispatches[n-1].denied
+}
+
+// originStands tells whether the origin never falls over, whatever it is asked for.
+func (r *Router) originStands() bool { return get(r.set, "origin.fallFactor", 0.) == 0 }
+
 // pick takes the first member within its cold budget, not suspect (or due for a trial) and not tried for this
 // retrieval. If there is none, the first within its budget: where all are suspect, it is not they.
 func (r *Router) pick(now int64, t *Retrieval, ranked []*member) (fallback *member) {
@@ -400,6 +430,9 @@
 
 func (r *Router) send(now int64, t *Retrieval, cache, source *member) Decision {
 	d := &dispatch{sent: now, cache: cache, source: source, kind: t.kind(now)}
+	if source == nil {
+		d.kind = hits
+	}
 	if d.lateFrom = now + r.dueIn(t, r.sizedTime(t)); t.SizeKB == 0 {
 		d.lateFrom += 2 * r.dueIn(t, 0) // it may be large, and then it draws on the links still
 	}
@@ -412,6 +445,7 @@
 		}
 		m.out = append(m.out, d)
 		m.spent = append(m.spent, charge{now, r.sendingTime(t)})
+		m.savings = max(0, m.savings-r.sendingTime(t))
 		if m.suspect {
 			m.trial, d.trial = true, m
 		}
@@ -634,7 +668,7 @@
 		r.sharedAt = now
 	}
 	if o.Result == Late && d.cache.well() && d.source.well() {
-		r.mute, r.muteAt = fade(r.mute, now-r.muteAt, keepSpan)+1, now
+		r.mute.add(now)
 	}
 	good, bad := [2]float64{}, blame[o.Result] // of the cache, of the source
 	switch {
@@ -647,7 +681,8 @@
 	case o.Result == Full && o.Note == 9: // notes: 9 names the cache, 6 to 8 the source
 		bad[1] = 0
 	case o.Result == Full && o.Note >= 6 && o.Note <= 8:
-		bad = [2]float64{0, 1}
+		bad, d.denied = [2]float64{0, 1}, true
+		r.denials.add(now)
 	}
 	if kind == hits {
 		good[1], bad[1] = 0, 0 // likely a hit: it tells nothing of the source
@@ -788,10 +823,30 @@
 		return true
 	}
 	capacity := m.Units * (share + (1-share)*float64(max(0, now-m.coldFrom))/float64(span))
+	budget := guardMargin * factor * capacity * float64(window) / 1e9 / r.sharers(m)
+	if amount > budget {
+		return r.saved(now, m, amount, budget/2, window)
+	}
 	for _, c := range m.spent {
 		amount += c.amount
 	}
-	return amount <= guardMargin*factor*capacity*float64(window)/1e9/r.sharers(m)
+	return amount <= budget
+}
+
+// saved tells whether a router has put aside enough for one dispatch to a cold member, from half of its
+// share. A share below one was used by nobody: nine parents that came back cold stood idle for the rest of a
+// day of 300 routers, and six bore it all. Each begins somewhere between nothing and a dispatch, by its own
+// chance, so that they do not come together. What was not used within a window lapses: else all held one, and
+// came in one moment. So at most two windows' halves do.
+func (r *Router) saved(now int64, m *member, amount, half float64, window int64) bool {
+	if m.savingFor != m.coldFrom {
+		m.savingFor, m.savedAt, m.savings = m.coldFrom, now, r.chance()*amount
+	}
+	m.savings += half * float64(now-m.savedAt) / float64(window)
+	for m.savedAt = now; m.savings > amount+half; {
+		m.savings -= amount
+	}
+	return m.savings >= amount
 }
 
 // rank orders members by rendezvous hashing weighted by size, alike at every router.
--- a/control/types.go
+++ b/control/types.go
@@ -124,6 +124,9 @@
 	backoff   int64
 	trial     bool // a trial is out
 	spent     []charge
+	savings   float64 // of a cold budget's share, seconds of sending time
+	savedAt   int64
+	savingFor int64 // the cold start that they are for
 }
 
 // charge is work sent to a member, in seconds of sending time.
@@ -138,6 +141,7 @@
 	trial         *member
 	ended         bool
 	result        Result
+	denied        bool  // its source was at its bound, or dead
 	kind          int   // the room it counts in
 	lateFrom      int64 // from when an answer is late
 }
@@ -164,6 +168,16 @@
 	part   int64
 }
 
+// lately counts what happened of late, fading.
+type lately struct {
+	count float64
+	last  int64
+}
+
+func (l *lately) at(now int64) float64 { return fade(l.count, now-l.last, keepSpan) }
+
+func (l *lately) add(now int64) { l.count, l.last = l.at(now)+1, now }
+
 // progress is what the module keeps of a retrieval.
 type progress struct {
 	product    *product
@@ -195,8 +209,7 @@
 	purges          map[string]int64 // told purges by object, and by group under its number
 	theirs, ours    float64          // in hand at caches, as told and as known, when answers came; fading
 	sharedAt        int64
-	mute            float64 // answers that went missing; fading
-	muteAt          int64
+	mute, denials   lately // answers that went missing; fills that a source denied
 	tight           [3]bool
 	rooms           [3]float64 // in hand that comes in time, for the caches' size, by kind
 	spare           float64    // further dispatches put aside
