--- a/feed/feed.go
+++ b/feed/feed.go
@@ -7,11 +7,16 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"tealpath/control"
+	"tealpath/plan/start"
 	"tealpath/router"
 	"tealpath/sse"
 )
@@ -19,28 +24,31 @@
 const (
 	path       = "/journal"
 	dialMost   = 700 * time.Millisecond
-	silentMost = 1700 * time.Millisecond // a comment comes each second; what a stopped service has to tell counts after 4 s
-	againFirst = 50 * time.Millisecond
-	againMost  = 500 * time.Millisecond
 	brokenMost = 3 // times that an event is read again before it is passed over
 )
 
-// Feed reads the journal service and posts what it tells.
+// Feed reads the journal service and posts what it tells. When it calls, and what it believes, start.Calls and start.Lists
+// decide.
 type Feed struct {
 	last   int64
 	post   func(router.Event)
 	log    func(string)
 	odd    int           // times that the event behind the last one could not be used
-	silent time.Duration // after which a connection is given up
+	silent time.Duration // in tests: waited for the next byte at most
+	calls  *start.Calls
+	lists  start.Lists
 
 	mu      sync.Mutex
 	address string
 	cut     context.CancelFunc // ends the connection in hand, or the wait for the next
 }
 
-// New makes a feed that goes on behind an event.
-func New(address string, last int64, post func(router.Event), log func(string)) *Feed {
-	return &Feed{address: address, last: last, post: post, log: log, silent: silentMost}
+// Heard is posted when the service itself has spoken on a new connection.
+type Heard struct{}
+
+// New makes a feed that goes on behind what was known.
+func New(address string, known Past, calls *start.Calls, post func(router.Event), log func(string)) *Feed {
+	return &Feed{address: address, last: known.Last, lists: known.lists, calls: calls, post: post, log: log}
 }
 
 // Move makes the feed go on at an address, behind the last event. The connection in hand is not waited for: the
@@ -56,68 +64,100 @@
 
 // Run reads until the context ends; after every break it goes on behind the last event.
 func (f *Feed) Run(ctx context.Context) error {
-	lost, wait := false, againFirst
+	lost, wait := false, f.calls.First()
 	for ctx.Err() == nil {
 		once, cut := context.WithCancel(ctx)
 		f.mu.Lock()
 		f.cut = cut
-		address := f.address
 		f.mu.Unlock()
-		err := f.follow(once, address, func() {
-			if wait = againFirst; lost {
-				lost = false
-				f.log("journal service connected again")
-			}
-		})
+		select {
+		case <-time.After(time.Duration(wait)):
+		case <-once.Done():
+		}
 		if once.Err() == nil {
-			if !lost {
-				lost = true
-				f.log(fmt.Sprintf("journal service lost behind event %d: %v", f.last, err))
-			}
-			select {
-			case <-time.After(wait):
-			case <-once.Done():
+			f.mu.Lock()
+			address := f.address
+			f.mu.Unlock()
+			how, err := f.follow(once, address, func() {
+				if lost {
+					lost = false
+					f.log("journal service connected again")
+				}
+			})
+			if once.Err() == nil {
+				wait = f.calls.Ended(time.Now().UnixNano(), how)
+				if !lost {
+					lost = true
+					f.log(fmt.Sprintf("journal service lost behind event %d, %s: %v", f.last, how, err))
+				}
 			}
-			wait = min(2*wait, againMost)
 		}
 		if once.Err() != nil {
-			wait = againFirst // moved: nothing is known of this address yet
+			wait = f.calls.Moved(time.Now().UnixNano()) // nothing is known of this address yet
 		}
 		cut()
 	}
 	return nil
 }
 
-// follow reads one connection; heard is called for all that comes.
-func (f *Feed) follow(ctx context.Context, address string, heard func()) error {
+// patience is until when the next byte is waited for.
+func (f *Feed) patience() time.Time {
+	span := time.Duration(f.calls.Patience())
+	if f.silent > 0 {
+		span = min(span, f.silent)
+	}
+	return time.Now().Add(span)
+}
+
+// follow reads one connection; heard is called for the first that comes. It tells how the connection ended.
+func (f *Feed) follow(ctx context.Context, address string, heard func()) (start.End, error) {
 	dialer := net.Dialer{Timeout: dialMost}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return err
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return start.Refused, err
+	case err != nil:
+		return start.Unreached, err
 	}
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
-	conn.SetDeadline(time.Now().Add(f.silent))
+	spoke := false
+	ended := func(err error) (start.End, error) {
+		quiet := errors.Is(err, os.ErrDeadlineExceeded)
+		switch {
+		case quiet && spoke:
+			return start.Silent, err
+		case quiet:
+			return start.Unanswered, err
+		}
+		return start.Broke, err
+	}
+	conn.SetDeadline(f.patience())
 	if err := sse.Request(conn, address, path, strconv.FormatInt(f.last, 10)); err != nil {
-		return err
+		return ended(err)
 	}
 	stream, err := sse.Open(conn)
 	if err != nil {
-		return err
+		return ended(err)
 	}
 	for {
-		conn.SetDeadline(time.Now().Add(f.silent))
+		conn.SetDeadline(f.patience())
 		e, err := stream.Next()
 		if err != nil {
-			return err
+			return ended(err)
+		}
+		f.calls.Heard()
+		if !spoke {
+			spoke = true
+			heard()
+			f.post(Heard{})
 		}
-		heard()
 		if e.Comment {
 			continue
 		}
 		if err := f.take(e); err != nil {
-			return err
+			return ended(err)
 		}
 	}
 }
@@ -125,18 +165,28 @@
 // take posts an event that is the next one. One that cannot be used is asked for again, and passed over in
 // the end: what follows counts more.
 func (f *Feed) take(e sse.Event) error {
-	pos, told, err := Decode(e.Data)
+	pos, told, list, err := decode(e.Data)
 	if id, bad := strconv.ParseInt(e.ID, 10, 64); bad == nil && (err != nil || pos == 0) {
 		pos = id
 	}
-	whole := false
-	if list, ok := told.(router.Listed); ok {
-		whole = list.Whole
+	next := f.last + 1
+	if list.Whole && err == nil {
+		switch f.lists.Judge(time.Now().UnixNano(), list) {
+		case start.Doubt:
+			f.log(fmt.Sprintf("a list of %d members, %d ready, is asked for again before it counts", list.Members, list.Ready))
+			return fmt.Errorf("event %d: a list of %d members", pos, list.Members)
+		case start.Old:
+			return nil
+		}
+		if pos < next {
+			f.log(fmt.Sprintf("journal service counts anew, from %d; event %d was the last", pos, f.last))
+		}
+		next, f.last = pos, pos-1
 	}
 	switch {
-	case pos > 0 && pos <= f.last:
+	case pos > 0 && pos < next:
 		return nil // a repeat
-	case err == nil && (pos == f.last+1 || whole):
+	case err == nil && pos == next:
 	case f.odd < brokenMost:
 		f.odd++
 		if err == nil {
@@ -144,10 +194,11 @@
 		}
 		return fmt.Errorf("event %d: %w", pos, err)
 	}
-	if f.odd = 0; pos > f.last+1 && !whole {
-		f.log(fmt.Sprintf("journal events %d to %d are missing", f.last+1, pos-1))
+	if f.odd = 0; pos > next {
+		f.log(fmt.Sprintf("journal events %d to %d are missing", next, pos-1))
 	}
 	f.last = max(f.last, pos)
+	f.lists.Passed(f.last)
 	if err != nil {
 		f.log(fmt.Sprintf("journal event %d passed over: %v", pos, err))
 		return nil
@@ -165,8 +216,9 @@
 type entry struct {
 	Pos   int64
 	Hosts *struct {
-		Reset     bool
-		Instances []struct {
+		Generation int64
+		Reset      bool
+		Instances  []struct {
 			InstanceID, HostPort, Zone, MachineType, Lifecycle string
 			Cell                                               int64
 			Weight                                             *float64
@@ -182,12 +234,30 @@
 
 // Decode reads one event: its number and what it tells, nil where that is nothing for a router.
 func Decode(raw []byte) (int64, router.Event, error) {
+	pos, told, _, err := decode(raw)
+	return pos, told, err
+}
+
+// decode gives beside that what a list says of itself.
+func decode(raw []byte) (int64, router.Event, start.List, error) {
 	var e entry
 	if err := json.Unmarshal(raw, &e); err != nil {
-		return 0, nil, err
+		return 0, nil, start.List{}, err
 	}
 	told, err := e.tells()
-	return e.Pos, told, err
+	about := start.List{Position: e.Pos}
+	if l, ok := told.(router.Listed); ok {
+		about.Generation, about.Whole, about.Members = e.Hosts.Generation, l.Whole, len(l.Lines)
+		hash := xxhash.New()
+		for _, line := range l.Lines {
+			if line.Phase == "ready" {
+				about.Ready++
+			}
+			fmt.Fprintln(hash, line)
+		}
+		about.Digest = hash.Sum64()
+	}
+	return e.Pos, told, about, err
 }
 
 func (e entry) tells() (router.Event, error) {
@@ -222,26 +292,37 @@
 	return nil, nil
 }
 
-// Known reads the events that a configuration holds: what they tell, in order, and the last one's number.
-func Known(raw []byte) (last int64, told []router.Event, err error) {
+// Past is what a configuration knew of the service's events: the last one's number.
+type Past struct {
+	Last  int64
+	lists start.Lists
+}
+
+// Known reads the events that a configuration holds: what they tell, in order, and how far they go.
+func Known(raw []byte) (past Past, told []router.Event, err error) {
 	if len(raw) == 0 || string(raw) == "null" {
-		return 0, nil, nil
+		return Past{}, nil, nil
 	}
 	var known struct {
 		Pos     int64
 		Entries []json.RawMessage
 	}
 	if err := json.Unmarshal(raw, &known); err != nil {
-		return 0, nil, fmt.Errorf("known: %w", err)
+		return Past{}, nil, fmt.Errorf("known: %w", err)
 	}
 	for n, raw := range known.Entries {
-		_, e, err := Decode(raw)
+		_, e, list, err := decode(raw)
 		if err != nil {
-			return 0, nil, fmt.Errorf("known: entry %d: %w", n+1, err)
+			return Past{}, nil, fmt.Errorf("known: entry %d: %w", n+1, err)
+		}
+		if list.Members > 0 {
+			past.lists.Judge(0, list)
 		}
 		if e != nil {
 			told = append(told, e)
 		}
 	}
-	return known.Pos, told, nil
+	past.Last = known.Pos
+	past.lists.Passed(known.Pos)
+	return past, told, nil
 }
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"tealpath/plan/start"
 	"tealpath/router"
 	"tealpath/sse"
 )
@@ -58,7 +59,8 @@
 		{"of another form", `[]`, 0, -1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			last, told, err := Known([]byte(c.in))
+			past, told, err := Known([]byte(c.in))
+			last := past.Last
 			if last != c.last || (err != nil) != (c.told < 0) || err == nil && len(told) != c.told {
 				t.Errorf("%d, %v, %v", last, told, err)
 			}
@@ -70,6 +72,14 @@
 	purge := func(pos int) sse.Event {
 		return sse.Event{ID: fmt.Sprint(pos), Data: fmt.Appendf(nil, `{"pos":%d,"expire":{"set":%d,"stamp":1}}`, pos, pos)}
 	}
+	whole := func(pos, generation, members int) sse.Event {
+		var lines []string
+		for n := range members {
+			lines = append(lines, fmt.Sprintf(`{"instanceId":"s-%d","hostPort":"10.1.0.%d:1","lifecycle":"active"}`, n, n))
+		}
+		return sse.Event{ID: fmt.Sprint(pos), Data: fmt.Appendf(nil, `{"pos":%d,"hosts":{"generation":%d,"reset":true,"instances":[%s]}}`,
+			pos, generation, strings.Join(lines, ","))}
+	}
 	broken := sse.Event{ID: "5", Data: []byte("{")}
 	for _, c := range []struct {
 		name   string
@@ -83,12 +93,18 @@
 		{"missing ones are asked for again", []sse.Event{purge(6), purge(5), purge(6)}, 2, 1, 6},
 		{"missing for good", []sse.Event{purge(6), purge(6), purge(6), purge(6)}, 1, 3, 6},
 		{"a whole list needs nothing before it", []sse.Event{{ID: "9", Data: fmt.Appendf(nil, list, 9, true, "active")}}, 1, 0, 9},
+		{"a list of nobody is asked for again, and counts when it is told twice", []sse.Event{whole(9, 7, 5), whole(10, 8, 0), whole(10, 8, 0)}, 2, 1, 10},
+		{"a list of nobody that was a slip", []sse.Event{whole(9, 7, 5), whole(10, 8, 0), whole(10, 8, 6)}, 2, 1, 10},
+		{"a list cut to a third", []sse.Event{whole(9, 7, 6), whole(10, 8, 2)}, 1, 1, 9},
+		{"an old list", []sse.Event{whole(9, 7, 5), whole(6, 6, 5)}, 1, 0, 9},
+		{"a service that counts anew", []sse.Event{whole(9, 7, 5), whole(1, 8, 5), purge(2)}, 3, 0, 2},
+		{"one that counts anew and is behind", []sse.Event{whole(9, 7, 5), whole(1, 7, 5), purge(10)}, 2, 0, 10},
 		{"a broken one comes right", []sse.Event{broken, purge(5)}, 1, 1, 5},
 		{"broken for good: what follows counts", []sse.Event{broken, broken, broken, broken, purge(6)}, 1, 3, 6},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			told, breaks := 0, 0
-			f := New("", 4, func(router.Event) { told++ }, func(string) {})
+			f := New("", Past{Last: 4}, start.NewCalls(1, 1), func(router.Event) { told++ }, func(string) {})
 			for _, e := range c.in {
 				if f.take(e) != nil {
 					breaks++
@@ -101,6 +117,15 @@
 	}
 }
 
+// noting keeps what is told, but for the signs that the service has spoken.
+func noting(told chan router.Event) func(router.Event) {
+	return func(e router.Event) {
+		if _, sign := e.(Heard); !sign {
+			told <- e
+		}
+	}
+}
+
 // A stand-in of the journal service that ends, refuses and falls silent in turn.
 func TestRun(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -138,7 +163,7 @@
 	defer cancel()
 	told := make(chan router.Event, 16)
 	over := make(chan error, 1)
-	f := New(listener.Addr().String(), 4, func(e router.Event) { told <- e }, func(string) {})
+	f := New(listener.Addr().String(), Past{Last: 4}, start.NewCalls(1, 1), noting(told), func(string) {})
 	f.silent = time.Second / 5
 	go func() { over <- f.Run(ctx) }()
 	var ids []string
@@ -196,7 +221,7 @@
 			}
 			next, again := service(t, head+event)
 			told := make(chan router.Event, 16)
-			f := New(old, 4, func(e router.Event) { told <- e }, func(string) {})
+			f := New(old, Past{Last: 4}, start.NewCalls(1, 1), noting(told), func(string) {})
 			ctx, cancel := context.WithCancel(context.Background())
 			over := make(chan error, 1)
 			go func() { over <- f.Run(ctx) }()
--- a/lab/cluster.go
+++ b/lab/cluster.go
@@ -72,19 +72,28 @@
 	clients map[string]string // where each takes clients
 }
 
-// free gives an address of a loopback host that nobody listens on now. Where all of 127.0.0.0/8 is the machine's own, the
-// host is one that is used for nothing else: on 127.0.0.1 another's outgoing connection took the port in between.
+// given is every address that free gave in this process: two plays side by side were given one, as nobody listened on it
+// at the moment.
+var given sync.Map
+
+// free gives an address of a loopback host that nobody listens on now, each once. Where all of 127.0.0.0/8 is the machine's
+// own, the host is one that is used for nothing else: on 127.0.0.1 another's outgoing connection took the port in between.
 func free() (string, error) {
 	host := fmt.Sprintf("127.%d.%d.2", 2+os.Getpid()%250, os.Getpid()/250%250)
-	l, err := net.Listen("tcp", host+":0")
-	if err != nil {
-		l, err = net.Listen("tcp", "127.0.0.1:0")
-	}
-	if err != nil {
-		return "", err
+	for {
+		l, err := net.Listen("tcp", host+":0")
+		if err != nil {
+			l, err = net.Listen("tcp", "127.0.0.1:0")
+		}
+		if err != nil {
+			return "", err
+		}
+		address := l.Addr().String()
+		l.Close()
+		if _, again := given.LoadOrStore(address, true); !again {
+			return address, nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
 }
 
 // NewCluster makes a cluster's files and stand-ins; Start starts its instances.
--- /dev/null
+++ b/plan/start/calls.go
@@ -0,0 +1,152 @@
+// Package start decides how a router begins among hundreds that begin in the same second: when it calls the list service
+// and when again, which lists it believes, and what phase of its start it is in. It does no input or output, reads no
+// clock, starts no goroutine; time and chance come in. docs/coldstart.md has the arithmetic and the options.
+//
+// All times are Unix ns; spans are ns.
+package start
+
+import "math/rand/v2"
+
+const (
+	second      = int64(1e9)
+	millisecond = int64(1e6)
+)
+
+// What the platform's pages state of when a change counts as told to a router that has not heard it: after its connection
+// broke off, after it stood still, after a new configuration, and at the latest.
+const (
+	toldAfterBreak  = 2 * second
+	toldAfterStop   = 4 * second
+	toldAfterMove   = 4 * second
+	toldAtTheLatest = 7 * second
+)
+
+// What a call takes: of the time by which a change counts as told, so much is kept for dialling and for the answer.
+const answerTime = 500 * millisecond
+
+// Rates that all routers together keep to, calls a second, as far as the times above let them.
+const (
+	againRate = 110. // where the service refuses or does not answer
+	breakRate = 300. // after a break: half of the time there is is left for one more try
+)
+
+const (
+	breakSpreadMost = toldAfterBreak / 2
+	moveSpreadMost  = second
+
+	// After a start a change counts as told when it is in the service, so a router that serves from what its configuration
+	// knew has the grace for drains, 250 ms, to hear of it: of this a part. With the first calls spread over 2.6 s 32
+	// requests went to caches that drained, in one day of 300 routers.
+	firstSpreadMost = 100 * millisecond
+
+	againLeast = 200 * millisecond // where one router is alone, or the settings know of few
+	againMost  = toldAtTheLatest - 2*second
+	grows      = 3 // decorrelated jitter: the next wait is drawn up to so many times the last
+
+	quietMost     = 1700 * millisecond // a comment comes each second
+	quietFirst    = 1700 * millisecond // for the first byte; grows while the service takes calls and does not answer:
+	quietFirstMax = 7 * second         // who gives up in the queue and calls again keeps the queue as long as it is
+	quietGrows    = 4
+	quietAgain    = againMost * 2 / 3 // until the next call then, at least
+)
+
+// End is how a call ended, or the connection that it made.
+type End int
+
+// The ends. Refused proves that nobody is there; Unreached is silence on dialling; Unanswered took the call and never said
+// anything; Broke and Silent had said something before.
+const (
+	Refused End = iota
+	Unreached
+	Unanswered
+	Broke
+	Silent
+)
+
+func (e End) String() string {
+	return []string{"refused", "unreached", "unanswered", "broke", "silent"}[e]
+}
+
+// Calls decides when one router calls the list service. It is not safe for use by two goroutines at once.
+type Calls struct {
+	routers float64
+	rng     *rand.Rand
+	last    int64 // the last wait
+	by      int64 // until when a call is to be answered; 0 is only as the latest time wants it
+	once    bool  // one more call was put before that
+	heard   bool  // since the last end
+	quiet   int64 // patience with the first byte
+}
+
+// NewCalls makes the calls of one of so many routers.
+func NewCalls(seed uint64, routers int) *Calls {
+	return &Calls{routers: float64(max(1, routers)), rng: rand.New(rand.NewPCG(seed, 0x6c697374)), quiet: quietFirst}
+}
+
+// First is how long to wait before the first call after the start.
+func (c *Calls) First() int64 {
+	c.by = 0 // if it fails: calls no further apart than againMost are in time for what comes
+	return c.draw(c.spread(againRate, firstSpreadMost))
+}
+
+// Moved is how long to wait before the first call at another address.
+func (c *Calls) Moved(now int64) int64 {
+	c.by, c.once, c.quiet, c.heard = now+toldAfterMove, false, quietFirst, false
+	return c.draw(c.spread(breakRate, moveSpreadMost))
+}
+
+// Heard notes that something whole came: an event or a comment.
+func (c *Calls) Heard() {
+	c.heard, c.quiet, c.last = true, quietFirst, 0
+}
+
+// Patience is for how long to wait for the next byte of a connection.
+func (c *Calls) Patience() int64 {
+	if c.heard {
+		return quietMost
+	}
+	return c.quiet
+}
+
+// Ended is how long to wait before the next call, after one ended.
+//
+// A connection that had spoken is called again within the time by which what it would have told counts as told, by all
+// routers spread over half of that. One that has not is called again by decorrelated jitter (Brooker, "Exponential Backoff
+// And Jitter", 2015) over as long as all routers together need at their rate; but once more before the time is over.
+func (c *Calls) Ended(now int64, how End) int64 {
+	spoke := c.heard
+	c.heard = false
+	if spoke {
+		c.by, c.once = now+toldAfterBreak, false
+		if how == Silent {
+			c.by = now + toldAfterStop - quietMost
+		}
+		return c.draw(c.spread(breakRate, breakSpreadMost))
+	}
+	least := min(max(c.spread(againRate, againMost), againLeast), againMost/2)
+	if how == Unanswered {
+		c.quiet, least = min(quietGrows*c.quiet, quietFirstMax), quietAgain
+	}
+	most := min(max(grows*c.last, 2*least), againMost)
+	c.last = least + c.draw(most-least)
+	if left := c.by - answerTime - now; left > 0 && c.last > left && !c.once {
+		// Half at the least: all that broke together are not to come together at the last moment either. Once: halved and
+		// halved again the waits came to nothing.
+		c.once = true
+		return left/2 + c.draw(left/2)
+	}
+	return c.last
+}
+
+// spread is how long all routers take to call once at a rate.
+func (c *Calls) spread(rate float64, most int64) int64 {
+	return min(int64(c.routers/rate*float64(second)), most)
+}
+
+// draw is a span from [0, most).
+func (c *Calls) draw(most int64) int64 {
+	if most <= 0 {
+		return 0
+	}
+	return c.rng.Int64N(most)
+}
--- /dev/null
+++ b/plan/start/start_test.go
@@ -0,0 +1,228 @@
+package start
+
+import (
+	"fmt"
+	"testing"
+)
+
+// calls plays n routers whose service answers as told by serve, from one start, and gives the times of all calls. serve
+// tells how a call at a time ends and how long that takes.
+func calls(n, said int, until int64, serve func(at int64) (End, int64, bool)) (all []int64, heard map[int]int64) {
+	heard = map[int]int64{}
+	for i := range n {
+		c := NewCalls(uint64(i)+1, said)
+		for at := c.First(); at < until; {
+			all = append(all, at)
+			how, took, answered := serve(at)
+			if answered {
+				heard[i] = at + took
+				break
+			}
+			if how == Unanswered {
+				took = c.Patience()
+			}
+			at += took + c.Ended(at+took, how)
+		}
+	}
+	return all, heard
+}
+
+// most is the most calls within a span.
+func most(all []int64, span int64) (peak int) {
+	bins := map[int64]int{}
+	for _, at := range all {
+		bins[at/span]++
+		peak = max(peak, bins[at/span])
+	}
+	return peak
+}
+
+// before is how routers called without chance: at once, then after 50 ms doubling to 500 ms.
+func before(n int, until int64) (all []int64) {
+	for range n {
+		for at, wait := int64(0), 50*millisecond; at < until; at, wait = at+wait, min(2*wait, 500*millisecond) {
+			all = append(all, at)
+		}
+	}
+	return all
+}
+
+func down(int64) (End, int64, bool) { return Refused, 0, false }
+
+func TestServiceIsDown(t *testing.T) {
+	for _, c := range []struct{ routers, said, bound int }{
+		// bound: calls a second, the rate and what chance adds
+		{1, 1, 6}, {3, 3, 15}, {300, 300, 330}, {1000, 1000, 1100}, {5000, 5000, 5500},
+		{300, 3, 1300}, // the settings say 3: apart from the second call on
+	} {
+		t.Run(fmt.Sprint(c.routers, " routers, said to be ", c.said), func(t *testing.T) {
+			all, _ := calls(c.routers, c.said, 30*second, down)
+			peak, old := most(all, second), most(before(c.routers, 30*second), second)
+			if peak > c.bound {
+				t.Errorf("%d calls in a second, bound %d", peak, c.bound)
+			}
+			if c.said >= 300 && 4*peak > old {
+				t.Errorf("%d calls in a second, %d before", peak, old)
+			}
+			late := func(all []int64) (after []int64) {
+				for _, at := range all {
+					if at >= 10*second {
+						after = append(after, at)
+					}
+				}
+				return after
+			}
+			if now, old := most(late(all), second), most(late(before(c.routers, 30*second)), second); c.said >= 300 && 4*now > old {
+				t.Errorf("later on %d calls in a second, %d before", now, old)
+			}
+			if len(all) < c.routers*4 {
+				t.Errorf("%d calls in 30 s: the service's return is found late", len(all))
+			}
+		})
+	}
+}
+
+// Who breaks off, stands still or moves: in time for what counts as told, whatever n and chance.
+func TestCalledWithinWhatCountsAsTold(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		wait func(*Calls) int64
+		most int64
+	}{
+		{"a break", func(c *Calls) int64 { c.Heard(); return c.Ended(0, Broke) }, toldAfterBreak - answerTime},
+		{"silence", func(c *Calls) int64 { c.Heard(); return c.Ended(0, Silent) }, toldAfterStop - quietMost - answerTime},
+		{"a new address", func(c *Calls) int64 { return c.Moved(0) }, toldAfterMove - answerTime},
+		{"a start", func(c *Calls) int64 { return c.First() }, firstSpreadMost},
+		{"a break, and the first call fails", func(c *Calls) int64 {
+			c.Heard()
+			first := c.Ended(0, Broke)
+			return first + c.Ended(first, Refused)
+		}, toldAfterBreak - answerTime},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for _, n := range []int{0, 1, 3, 300, 100_000} {
+				for seed := range uint64(200) {
+					if w := c.wait(NewCalls(seed, n)); w < 0 || w > c.most {
+						t.Fatalf("%d routers: %d ms, most %d", n, w/millisecond, c.most/millisecond)
+					}
+				}
+			}
+		})
+	}
+}
+
+// A service that takes ten calls a second and answers in order is heard by all in the end: who gives up in its queue leaves
+// a call there that nobody waits for.
+func TestSlowServiceComesThrough(t *testing.T) {
+	const n, each = 100, second / 10
+	type call struct {
+		router   int
+		at, dead int64
+	}
+	var states [n]*Calls
+	next := map[int]int64{}
+	for i := range states {
+		states[i] = NewCalls(uint64(i), n)
+		next[i] = states[i].First()
+	}
+	var queue []call
+	heard := 0
+	for now := int64(0); now < 60*second && heard < n; now += 10 * millisecond {
+		for i := range n {
+			if at, waits := next[i]; waits && at <= now {
+				delete(next, i)
+				queue = append(queue, call{i, now, now + states[i].Patience()})
+			}
+		}
+		for k := range queue {
+			if q := &queue[k]; q.dead > 0 && q.dead <= now {
+				next[q.router] = now + states[q.router].Ended(now, Unanswered)
+				q.dead = 0 // given up, and in the queue still
+			}
+		}
+		if now%each == 0 && len(queue) > 0 {
+			if queue[0].dead > 0 {
+				states[queue[0].router].Heard()
+				heard++
+			}
+			queue = queue[1:]
+		}
+	}
+	if heard < n {
+		t.Errorf("%d of %d were answered within a minute, %d calls in the queue", heard, n, len(queue))
+	}
+}
+
+func TestLists(t *testing.T) {
+	whole := func(position, generation int64, members, ready int) List {
+		return List{Position: position, Generation: generation, Whole: true, Members: members, Ready: ready,
+			Digest: uint64(members)<<32 | uint64(ready)}
+	}
+	for _, c := range []struct {
+		name string
+		told []List
+		at   []int64
+		want string
+	}{
+		{"the first is used, whatever it says", []List{whole(1, 1, 0, 0)}, nil, "[use]"},
+		{"nobody", []List{whole(1, 1, 8, 8), whole(5, 2, 0, 0), whole(5, 2, 0, 0)}, nil, "[use doubt use]"},
+		{"nobody ready", []List{whole(1, 1, 8, 8), whole(5, 2, 8, 0)}, nil, "[use doubt]"},
+		{"a third", []List{whole(1, 1, 9, 9), whole(5, 2, 3, 3), whole(5, 2, 9, 9)}, nil, "[use doubt use]"},
+		{"half", []List{whole(1, 1, 8, 8), whole(5, 2, 4, 4)}, nil, "[use use]"},
+		{"few were there", []List{whole(1, 1, 3, 3), whole(5, 2, 1, 1)}, nil, "[use use]"},
+		{"confirmed too late", []List{whole(1, 1, 8, 8), whole(5, 2, 2, 2), whole(5, 2, 2, 2)}, []int64{0, 1, 6 * second}, "[use doubt doubt]"},
+		{"doubted twice with another content", []List{whole(1, 1, 8, 8), whole(5, 2, 2, 2), whole(6, 2, 3, 3)}, nil, "[use doubt doubt]"},
+		{"older", []List{whole(7, 3, 8, 8), whole(5, 2, 8, 8)}, nil, "[use old]"},
+		{"the same again", []List{whole(7, 3, 8, 8), whole(7, 3, 8, 8)}, nil, "[use old]"},
+		{"changes behind it", []List{whole(7, 3, 8, 8), {Position: 8, Members: 1}, {Position: 8, Members: 1}}, nil, "[use use old]"},
+		{"a service that counts anew", []List{whole(7, 3, 8, 8), whole(1, 4, 8, 8), {Position: 2, Members: 1}}, nil, "[use use use]"},
+		{"one that counts anew and is behind", []List{whole(7, 3, 8, 8), whole(1, 3, 8, 8)}, nil, "[use old]"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var l Lists
+			var got []Verdict
+			for i, list := range c.told {
+				at := int64(i + 1)
+				if c.at != nil {
+					at = c.at[i] + 1
+				}
+				got = append(got, l.Judge(at, list))
+			}
+			if fmt.Sprint(got) != c.want {
+				t.Errorf("%v, want %s", got, c.want)
+			}
+		})
+	}
+}
+
+func TestPhases(t *testing.T) {
+	s := NewStart(0, CountWindow)
+	step := func(now int64, want Phase, another bool) {
+		t.Helper()
+		if p, a := s.Step(now); p != want || a != another {
+			t.Errorf("at %d ms: %v, %v; want %v, %v", now/millisecond, p, a, want, another)
+		}
+	}
+	step(0, Alone, false)
+	s.Service(second)
+	step(second, Alone, false)
+	if s.Ready() {
+		t.Error("ready without a list")
+	}
+	s.List()
+	step(2*second, Warming, true)
+	step(9*second, Warming, false)
+	step(10*second, Whole, true)
+	step(9*second, Whole, false)
+
+	s = NewStart(0, CountWindow)
+	s.List()
+	step(0, Listed, true)
+	step(20*second, Listed, false)
+	s.Service(21 * second)
+	step(21*second, Whole, true)
+	if !s.Ready() || fmt.Sprint(Alone, Listed, Warming, Whole, Refused, Silent, Use, Doubt, Old) !=
+		"alone listed warming whole refused silent use doubt old" {
+		t.Error("words")
+	}
+}
--- a/process/process.go
+++ b/process/process.go
@@ -22,6 +22,7 @@
 	"tealpath/front"
 	"tealpath/operator"
 	plan "tealpath/plan/leave"
+	"tealpath/plan/start"
 	"tealpath/router"
 	"tealpath/upstream"
 )
@@ -68,7 +69,7 @@
 	front  *front.Front
 	pool   *upstream.Pool
 	router *router.Router
-	listed bool // the list of members has come
+	start  *start.Start
 	file   *operator.File
 	shared *sharing // nil: this instance shares nothing with others
 }
@@ -113,7 +114,7 @@
 	load func() (*config.Config, *operator.File, error)) error {
 	p.enter(Starting)
 	defer p.enter(Stopped)
-	last, err := p.prepare()
+	past, err := p.prepare()
 	if err != nil {
 		return err
 	}
@@ -159,13 +160,15 @@
 		group.Go(func() error { return operator.Serve(ctx, p.file.Socket, handlers) })
 	}
 	p.enter(Serving)
-	p.front.SetReady(p.listed)
+	p.front.SetReady(p.start.Ready())
+	p.step()
 	group.Go(func() error {
 		defer stop()
 		return p.reduce(ctx, leave)
 	})
 	group.Go(func() error { return p.front.Serve(ctx) })
-	journal := feed.New(p.config.Journal, last, post, p.line)
+	routers, _ := p.config.Settings["routers"].(int64)
+	journal := feed.New(p.config.Journal, past, start.NewCalls(p.config.Seed, int(routers)), post, p.line)
 	group.Go(func() error { return journal.Run(ctx) })
 	group.Go(func() error {
 		for {
@@ -245,7 +248,7 @@
 }
 
 // prepare sets the limits and gives the reducer all that is known at the start.
-func (p *Process) prepare() (last int64, err error) {
+func (p *Process) prepare() (past feed.Past, err error) {
 	if p.config.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(p.config.Cores)))
 	}
@@ -260,22 +263,31 @@
 	p.router, err = router.New(now, p.config.Seed, p.config.Settings, router.Limits{Hands: int(hands), Bytes: p.bytes(bodyShare),
 		Links: int(linkShare * float64(p.sockets()))})
 	if err != nil {
-		return 0, fmt.Errorf("%w: settings: %w", ErrConfig, err)
+		return past, fmt.Errorf("%w: settings: %w", ErrConfig, err)
 	}
-	last, told, err := feed.Known(p.config.Known)
+	p.start = start.NewStart(now, start.CountWindow)
+	past, told, err := feed.Known(p.config.Known)
 	if err != nil {
-		return 0, fmt.Errorf("%w: %w", ErrConfig, err)
+		return past, fmt.Errorf("%w: %w", ErrConfig, err)
 	}
 	for _, e := range told {
-		_, list := e.(router.Listed)
-		p.listed = p.listed || list
+		if _, list := e.(router.Listed); list {
+			p.start.List()
+		}
 		for _, effect := range p.router.Handle(now, e) {
 			if line, ok := effect.(router.Log); ok {
 				p.note(line)
 			}
 		}
 	}
-	return last, nil
+	return past, nil
+}
+
+// step takes the start on and logs a new phase of it.
+func (p *Process) step() {
+	if phase, another := p.start.Step(time.Now().UnixNano()); another {
+		p.line("start: " + phase.String())
+	}
 }
 
 // reduce is the one goroutine that runs the reducer and carries out what it asks for.
@@ -294,16 +306,23 @@
 			p.front.SetReady(false)
 			p.handle(now, router.Leaving{By: leaving.AnswerBy()}, timer)
 		case a := <-p.inbox:
+			switch a.event.(type) {
+			case feed.Heard:
+				p.start.Service(a.at)
+				continue
+			case router.Listed:
+				p.start.List()
+			}
 			p.handle(a.at, a.event, timer)
-			if _, list := a.event.(router.Listed); list && !p.listed {
-				p.listed = true
+			if _, list := a.event.(router.Listed); list {
 				p.front.SetReady(leaving == nil)
-			}
-			if _, list := a.event.(router.Listed); list && p.shared != nil {
-				p.shared.list(p.router.Listings(), p.config.Settings)
+				if p.shared != nil {
+					p.shared.list(p.router.Listings(), p.config.Settings)
+				}
 			}
 		case <-timer.C:
 			p.handle(time.Now().UnixNano(), router.Due{}, timer)
+			p.step()
 		}
 		if leaving == nil {
 			continue
--- a/standin/cache/cache.go
+++ b/standin/cache/cache.go
@@ -27,6 +27,7 @@
 	conns    map[net.Conn]bool
 	probes   []Probe
 	fetches  int
+	peak     int // connections at a time
 	silent   bool
 	group    sync.WaitGroup
 }
@@ -49,6 +50,7 @@
 			}
 			c.mu.Lock()
 			c.conns[conn] = true
+			c.peak = max(c.peak, len(c.conns))
 			c.mu.Unlock()
 			c.group.Go(func() {
 				c.serve(conn)
@@ -86,6 +88,13 @@
 	return c.fetches
 }
 
+// Peak is the most connections that there were at a time.
+func (c *Cache) Peak() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.peak
+}
+
 // Close resets all connections, as a process that dies does.
 func (c *Cache) Close() {
 	c.listener.Close()
