Operators may have first calls spread and health held back until the list service was heard

Need: the first second of a cold start still sees one call of each router, since a router that serves has the grace for drains to hear of changes. Who can spare a router for some seconds at its start can have both: calls at a stated rate, and nobody served by a list that may be old.

Change: (start (rate N) (hold T)) in the operator's file, checked with line and column, and against the deployment's number of routers (plan/start.Holding); health is good once the service was heard or the hold is over. Off without the file, and so in `run`.

Measured: TestColdStartHoldsHealthBack, 12 real processes at a hold of 4 s: at most 10 calls a second, all good within 6 s.

--- a/cmd/teallab/coldstart.go
+++ b/cmd/teallab/coldstart.go
@@ -20,6 +20,7 @@
 			&cli.StringFlag{Name: "faults", Value: "none", Usage: "none, list-down, list-slow, list-half, list-restart or half-killed"},
 			&cli.DurationFlag{Name: "seconds", Value: 20 * time.Second}, &cli.Float64Flag{Name: "rate", Value: 300},
 			&cli.StringFlag{Name: "binary", Value: "bin/tealpath"},
+			&cli.DurationFlag{Name: "hold", Usage: "play it again with first calls spread over four fifths of so long, health held back"},
 			&cli.StringFlag{Name: "baseline", Usage: "an earlier build of tealpath, played in the same call"},
 			&cli.BoolFlag{Name: "virtual", Usage: "play the decisions alone, in simulated time, with a service that is down for 30 s"}}}
 }
@@ -52,16 +53,22 @@
 	play := lab.Coldstart{Routers: cmd.Int("routers"), Caches: cmd.Int("caches"), Seed: cmd.Uint64("seed"),
 		Faults: cmd.String("faults"), Span: cmd.Duration("seconds"), Rate: cmd.Float64("rate"), Folder: folder, Out: out, Process: os.Stdout}
 	if base := cmd.String("baseline"); base != "" {
-		r, err := play.Run(ctx, base)
+		r, err := play.Run(ctx, base, 0)
 		if err != nil {
 			return cli.Exit(err, exitBroken)
 		}
 		print.Encode(r)
 	}
-	r, err := play.Run(ctx, cmd.String("binary"))
+	r, err := play.Run(ctx, cmd.String("binary"), 0)
 	if err != nil {
 		return cli.Exit(err, exitBroken)
 	}
+	if hold := cmd.Duration("hold"); hold > 0 {
+		print.Encode(r)
+		if r, err = play.Run(ctx, cmd.String("binary"), hold); err != nil {
+			return cli.Exit(err, exitBroken)
+		}
+	}
 	print.Encode(r)
 	if r.CallsPeak > r.Bound || r.Unlisted > 0 || r.Lost > 0 {
 		return cli.Exit(lab.ErrBound, exitBroken)
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -104,7 +104,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			told, breaks := 0, 0
-			f := New("", Past{Last: 4}, start.NewCalls(1, 1), func(router.Event) { told++ }, func(string) {})
+			f := New("", Past{Last: 4}, start.NewCalls(1, 1, start.Holding{}), func(router.Event) { told++ }, func(string) {})
 			for _, e := range c.in {
 				if f.take(e) != nil {
 					breaks++
@@ -163,7 +163,7 @@
 	defer cancel()
 	told := make(chan router.Event, 16)
 	over := make(chan error, 1)
-	f := New(listener.Addr().String(), Past{Last: 4}, start.NewCalls(1, 1), noting(told), func(string) {})
+	f := New(listener.Addr().String(), Past{Last: 4}, start.NewCalls(1, 1, start.Holding{}), noting(told), func(string) {})
 	f.silent = time.Second / 5
 	go func() { over <- f.Run(ctx) }()
 	var ids []string
@@ -221,7 +221,7 @@
 			}
 			next, again := service(t, head+event)
 			told := make(chan router.Event, 16)
-			f := New(old, Past{Last: 4}, start.NewCalls(1, 1), noting(told), func(string) {})
+			f := New(old, Past{Last: 4}, start.NewCalls(1, 1, start.Holding{}), noting(told), func(string) {})
 			ctx, cancel := context.WithCancel(context.Background())
 			over := make(chan error, 1)
 			go func() { over <- f.Run(ctx) }()
--- a/lab/coldstart.go
+++ b/lab/coldstart.go
@@ -61,6 +61,7 @@
 	Sent         int     `json:"sent"`
 	Settled      float64 `json:"settled_share_first_10s"`
 	Lost         int     `json:"lost"`
+	Hold         float64 `json:"hold_s"`
 	Bound        int     `json:"bound_connects_per_s"`
 }
 
@@ -95,9 +96,9 @@
 	return err == nil && strings.Contains(string(frame), "\x02\x00\x03\x01")
 }
 
-// Run plays one build.
-func (c Coldstart) Run(ctx context.Context, binary string) (result ColdResult, err error) {
-	result = ColdResult{Binary: filepath.Base(binary), Faults: c.Faults, Routers: c.Routers, Bound: coldRate(c.Routers)}
+// Run plays one build, with the hold or without.
+func (c Coldstart) Run(ctx context.Context, binary string, hold time.Duration) (result ColdResult, err error) {
+	result = ColdResult{Binary: filepath.Base(binary), Faults: c.Faults, Routers: c.Routers, Bound: coldRate(c.Routers), Hold: hold.Seconds()}
 	if !slices.Contains(ColdFaults, c.Faults) {
 		return result, fmt.Errorf("faults are one of %s", strings.Join(ColdFaults, ", "))
 	}
@@ -147,6 +148,12 @@
 			return result, err
 		}
 	}
+	if hold > 0 {
+		file := fmt.Sprintf("(start (rate %g) (hold %s))", float64(c.Routers)/hold.Seconds()*1.25, hold)
+		if err := os.WriteFile(filepath.Join(c.Folder, "hold.sx"), []byte(file), 0o600); err != nil {
+			return result, err
+		}
+	}
 	running := make([]*exec.Cmd, c.Routers)
 	defer func() {
 		for _, cmd := range running {
@@ -157,7 +164,11 @@
 		}
 	}()
 	begin := func(i int) error {
-		cmd := exec.Command(binary, "serve")
+		args := []string{"serve"}
+		if hold > 0 {
+			args = append(args, "--operator", filepath.Join(c.Folder, "hold.sx"))
+		}
+		cmd := exec.Command(binary, args...)
 		cmd.Env = append(os.Environ(), "LB_CONFIG="+filepath.Join(c.Folder, fmt.Sprintf("n%d.json", i)))
 		running[i] = cmd
 		return cmd.Start()
@@ -304,7 +315,7 @@
 		return rates, p99
 	}
 	result.Rates, result.Heard99 = play(func(i int) func() int64 {
-		c := start.NewCalls(v.Seed*1_000_003+uint64(i), v.Routers)
+		c := start.NewCalls(v.Seed*1_000_003+uint64(i), v.Routers, start.Holding{})
 		now, first := int64(0), true
 		return func() (wait int64) {
 			if wait = c.First(); !first {
--- a/lab/coldstart_test.go
+++ b/lab/coldstart_test.go
@@ -16,7 +16,7 @@
 		t.Run(faults, func(t *testing.T) {
 			t.Parallel()
 			r, err := Coldstart{Routers: 12, Caches: 4, Seed: 7, Faults: faults, Span: 14 * time.Second, Rate: 60, Folder: t.TempDir(),
-				Process: io.Discard}.Run(t.Context(), binary)
+				Process: io.Discard}.Run(t.Context(), binary, 0)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -30,6 +30,20 @@
 	}
 }
 
+// With a hold no router is good before it has heard the service, nor all call at once; one that is down keeps none from
+// serving for longer than the hold.
+func TestColdStartHoldsHealthBack(t *testing.T) {
+	binary := build(t)
+	r, err := Coldstart{Routers: 12, Caches: 2, Seed: 7, Faults: "none", Span: 8 * time.Second, Rate: 30, Folder: t.TempDir(),
+		Process: io.Discard}.Run(t.Context(), binary, 4*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Unlisted > 0 || r.CallsPeak > 10 || r.Listed99 < 500 || r.Listed99 > 6000 {
+		t.Errorf("%+v", r)
+	}
+}
+
 func TestVirtualColdStart(t *testing.T) {
 	for _, n := range []int{300, 1000, 5000} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -14,6 +14,7 @@
 	"tealpath/fleet/member"
 	"tealpath/fleet/peer"
 	"tealpath/fleet/probe"
+	"tealpath/plan/start"
 )
 
 // File is an operator's file.
@@ -21,6 +22,8 @@
 	Socket string   // path of the Unix socket; empty is none
 	Fleet  *Fleet   // nil: instances don't talk
 	Idle   *Keeping // nil: connections are kept as the platform states it
+	Start  start.Holding
+	start  Place
 }
 
 // Fleet is how instances talk and share duties.
@@ -77,6 +80,7 @@
 	f.walk(root, nodes, map[string]entry{
 		"socket": {take: f.text(&file.Socket)},
 		"idle":   {take: func(n *Node, args []*Node) { file.Idle = f.keeping(n, args) }},
+		"start":  {take: func(n *Node, args []*Node) { f.start(n, args, file) }},
 		"fleet":  {take: func(n *Node, args []*Node) { file.Fleet = f.fleet(n, args, name, folder) }},
 	})
 	if file.Socket != "" {
@@ -96,6 +100,31 @@
 	return filepath.Join(folder, path)
 }
 
+// What may stand of a start.
+const (
+	leastRate = 0.1
+	mostRate  = 1e6
+	leastHold = time.Second
+	mostHold  = time.Minute
+)
+
+// start reads how routers begin together.
+func (f *faults) start(n *Node, args []*Node, file *File) {
+	file.start = n.Place
+	f.walk(n, args, map[string]entry{
+		"rate": {needed: true, take: f.number(&file.Start.Rate, leastRate, mostRate)},
+		"hold": {needed: true, take: f.span(&file.Start.Hold, leastHold, mostHold)},
+	})
+}
+
+// Holds tells whether what the file says of a start is enough for a deployment's routers.
+func (f *File) Holds(routers int) error {
+	if err := f.Start.Check(routers); err != nil {
+		return Fault{f.start, err.Error()}
+	}
+	return nil
+}
+
 // instance is one line of the instances.
 type instance struct {
 	Place
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -230,3 +230,29 @@
 		Parse(text, "a", t.TempDir())
 	})
 }
+
+func TestStart(t *testing.T) {
+	for _, c := range []struct {
+		text    string
+		routers int
+		says    string // empty: usable
+	}{
+		{"(start (rate 100) (hold 4s))", 300, ""},
+		{"(socket \"x\")\n (start (rate 100) (hold 2s))", 300, "2:2: 300 routers call for 3000 ms at 100 a second"},
+		{"(start (hold 4s))", 3, "1:1"},
+		{"(start (rate 0) (hold 4s))", 3, "1:14"},
+		{"(start (rate 100) (hold 2h))", 3, "1:25"},
+		{"(start (rate 100) (hold 4s) (wait 3))", 3, "1:29"},
+		{"", 300, ""},
+	} {
+		t.Run(c.text, func(t *testing.T) {
+			file, err := Parse(c.text, "a", t.TempDir())
+			if err == nil {
+				err = file.Holds(c.routers)
+			}
+			if (err == nil) != (c.says == "") || err != nil && !strings.HasPrefix(err.Error(), c.says) {
+				t.Errorf("%v, want %q", err, c.says)
+			}
+		})
+	}
+}
--- a/plan/start/calls.go
+++ b/plan/start/calls.go
@@ -70,6 +70,7 @@
 // Calls decides when one router calls the list service. It is not safe for use by two goroutines at once.
 type Calls struct {
 	routers float64
+	holding Holding
 	rng     *rand.Rand
 	last    int64 // the last wait
 	by      int64 // until when a call is to be answered; 0 is only as the latest time wants it
@@ -79,13 +80,16 @@
 }
 
 // NewCalls makes the calls of one of so many routers.
-func NewCalls(seed uint64, routers int) *Calls {
-	return &Calls{routers: float64(max(1, routers)), rng: rand.New(rand.NewPCG(seed, 0x6c697374)), quiet: quietFirst}
+func NewCalls(seed uint64, routers int, holding Holding) *Calls {
+	return &Calls{routers: float64(max(1, routers)), holding: holding, rng: rand.New(rand.NewPCG(seed, 0x6c697374)), quiet: quietFirst}
 }
 
 // First is how long to wait before the first call after the start.
 func (c *Calls) First() int64 {
 	c.by = 0 // if it fails: calls no further apart than againMost are in time for what comes
+	if c.holding.Rate > 0 {
+		return c.draw(c.spread(c.holding.Rate, c.holding.Hold-answerTime))
+	}
 	return c.draw(c.spread(againRate, firstSpreadMost))
 }
 
--- a/plan/start/phase.go
+++ b/plan/start/phase.go
@@ -22,6 +22,7 @@
 // Start is one start.
 type Start struct {
 	window int64 // over which rates are counted
+	hold   int64 // for so long at most health is held back until the service was heard
 	begun  int64
 	listed bool
 	heard  int64 // when the service was first heard
@@ -29,7 +30,9 @@
 }
 
 // NewStart begins a start; window is the span over which the module counts, ns.
-func NewStart(now, window int64) *Start { return &Start{begun: now, window: window} }
+func NewStart(now, window int64, holding Holding) *Start {
+	return &Start{begun: now, window: window, hold: holding.Hold}
+}
 
 // List notes that a list of members is in force.
 func (s *Start) List() { s.listed = true }
@@ -61,5 +64,8 @@
 	return p, true
 }
 
-// Ready tells whether clients may come.
-func (s *Start) Ready() bool { return s.listed }
+// Ready tells whether clients may come. Once its hold is over a router that knows members serves, heard or not: a service
+// that is down must not take the fleet with it.
+func (s *Start) Ready(now int64) bool {
+	return s.listed && (s.heard > 0 || now >= s.begun+s.hold)
+}
--- a/plan/start/start_test.go
+++ b/plan/start/start_test.go
@@ -10,7 +10,7 @@
 func calls(n, said int, until int64, serve func(at int64) (End, int64, bool)) (all []int64, heard map[int]int64) {
 	heard = map[int]int64{}
 	for i := range n {
-		c := NewCalls(uint64(i)+1, said)
+		c := NewCalls(uint64(i)+1, said, Holding{})
 		for at := c.First(); at < until; {
 			all = append(all, at)
 			how, took, answered := serve(at)
@@ -102,7 +102,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			for _, n := range []int{0, 1, 3, 300, 100_000} {
 				for seed := range uint64(200) {
-					if w := c.wait(NewCalls(seed, n)); w < 0 || w > c.most {
+					if w := c.wait(NewCalls(seed, n, Holding{})); w < 0 || w > c.most {
 						t.Fatalf("%d routers: %d ms, most %d", n, w/millisecond, c.most/millisecond)
 					}
 				}
@@ -122,7 +122,7 @@
 	var states [n]*Calls
 	next := map[int]int64{}
 	for i := range states {
-		states[i] = NewCalls(uint64(i), n)
+		states[i] = NewCalls(uint64(i), n, Holding{})
 		next[i] = states[i].First()
 	}
 	var queue []call
@@ -153,6 +153,44 @@
 	}
 }
 
+// With a hold the first calls of all come at the operator's rate, each early enough to be answered before it ends.
+func TestHold(t *testing.T) {
+	for _, c := range []struct {
+		routers int
+		holding Holding
+		fits    bool
+	}{{300, Holding{100, 4 * second}, true}, {300, Holding{100, 3 * second}, false}, {5000, Holding{1000, 6 * second}, true},
+		{0, Holding{1, 2 * second}, true}, {300, Holding{}, true}} {
+		t.Run(fmt.Sprint(c.routers, c.holding), func(t *testing.T) {
+			err := c.holding.Check(c.routers)
+			if (err == nil) != c.fits {
+				t.Fatal(err)
+			}
+			if !c.fits || c.holding.Rate == 0 {
+				return
+			}
+			var all []int64
+			for i := range max(1, c.routers) {
+				all = append(all, NewCalls(uint64(i), c.routers, c.holding).First())
+				if last := all[i]; last > c.holding.Hold-answerTime {
+					t.Fatalf("called after %d ms of a hold of %d", last/millisecond, c.holding.Hold/millisecond)
+				}
+			}
+			if peak := most(all, second); float64(peak) > 1.3*c.holding.Rate+5 {
+				t.Errorf("%d calls in a second at a rate of %g", peak, c.holding.Rate)
+			}
+		})
+	}
+	s := NewStart(0, CountWindow, Holding{100, 4 * second})
+	s.List()
+	if s.Ready(3*second) || !s.Ready(4*second) {
+		t.Error("health is held back for the hold, and no longer")
+	}
+	if s.Service(second); !s.Ready(second) {
+		t.Error("health is held back though the service was heard")
+	}
+}
+
 func TestLists(t *testing.T) {
 	whole := func(position, generation int64, members, ready int) List {
 		return List{Position: position, Generation: generation, Whole: true, Members: members, Ready: ready,
@@ -196,7 +234,7 @@
 }
 
 func TestPhases(t *testing.T) {
-	s := NewStart(0, CountWindow)
+	s := NewStart(0, CountWindow, Holding{})
 	step := func(now int64, want Phase, another bool) {
 		t.Helper()
 		if p, a := s.Step(now); p != want || a != another {
@@ -206,7 +244,7 @@
 	step(0, Alone, false)
 	s.Service(second)
 	step(second, Alone, false)
-	if s.Ready() {
+	if s.Ready(21 * second) {
 		t.Error("ready without a list")
 	}
 	s.List()
@@ -215,13 +253,13 @@
 	step(10*second, Whole, true)
 	step(9*second, Whole, false)
 
-	s = NewStart(0, CountWindow)
+	s = NewStart(0, CountWindow, Holding{})
 	s.List()
 	step(0, Listed, true)
 	step(20*second, Listed, false)
 	s.Service(21 * second)
 	step(21*second, Whole, true)
-	if !s.Ready() || fmt.Sprint(Alone, Listed, Warming, Whole, Refused, Silent, Use, Doubt, Old) !=
+	if !s.Ready(21*second) || fmt.Sprint(Alone, Listed, Warming, Whole, Refused, Silent, Use, Doubt, Old) !=
 		"alone listed warming whole refused silent use doubt old" {
 		t.Error("words")
 	}
--- a/process/process.go
+++ b/process/process.go
@@ -160,7 +160,6 @@
 		group.Go(func() error { return operator.Serve(ctx, p.file.Socket, handlers) })
 	}
 	p.enter(Serving)
-	p.front.SetReady(p.start.Ready())
 	p.step()
 	group.Go(func() error {
 		defer stop()
@@ -168,7 +167,7 @@
 	})
 	group.Go(func() error { return p.front.Serve(ctx) })
 	routers, _ := p.config.Settings["routers"].(int64)
-	journal := feed.New(p.config.Journal, past, start.NewCalls(p.config.Seed, int(routers)), post, p.line)
+	journal := feed.New(p.config.Journal, past, start.NewCalls(p.config.Seed, int(routers), p.holding()), post, p.line)
 	group.Go(func() error { return journal.Run(ctx) })
 	group.Go(func() error {
 		for {
@@ -265,7 +264,7 @@
 	if err != nil {
 		return past, fmt.Errorf("%w: settings: %w", ErrConfig, err)
 	}
-	p.start = start.NewStart(now, start.CountWindow)
+	p.start = start.NewStart(now, start.CountWindow, p.holding())
 	past, told, err := feed.Known(p.config.Known)
 	if err != nil {
 		return past, fmt.Errorf("%w: %w", ErrConfig, err)
@@ -283,8 +282,17 @@
 	return past, nil
 }
 
-// step takes the start on and logs a new phase of it.
+// holding is what the operator's file says of a start.
+func (p *Process) holding() start.Holding {
+	if p.file == nil {
+		return start.Holding{}
+	}
+	return p.file.Start
+}
+
+// step takes the start on: health, and a line for a new phase of it.
 func (p *Process) step() {
+	p.front.SetReady(p.phase < Draining && p.start.Ready(time.Now().UnixNano()))
 	if phase, another := p.start.Step(time.Now().UnixNano()); another {
 		p.line("start: " + phase.String())
 	}
@@ -309,13 +317,14 @@
 			switch a.event.(type) {
 			case feed.Heard:
 				p.start.Service(a.at)
+				p.step()
 				continue
 			case router.Listed:
 				p.start.List()
+				p.step()
 			}
 			p.handle(a.at, a.event, timer)
 			if _, list := a.event.(router.Listed); list {
-				p.front.SetReady(leaving == nil)
 				if p.shared != nil {
 					p.shared.list(p.router.Listings(), p.config.Settings)
 				}
--- a/process/sharing.go
+++ b/process/sharing.go
@@ -72,7 +72,8 @@
 	p := New(c, file, zerolog.Nop())
 	return errors.Join(file.Bound(setting(c.Settings, "probe", false), cache, parent),
 		file.Fits(idle.Bounds{Descriptors: int(p.sockets()), Links: int(linkShare * float64(p.sockets())), Memory: int64(p.bytes(1))},
-			int(clientShare*float64(p.sockets()))))
+			int(clientShare*float64(p.sockets()))),
+		file.Holds(int(setting(c.Settings, "routers", int64(1)))))
 }
 
 // newSharing makes the fleet's part of a process, with its listener open.
