--- a/control/control_test.go
+++ b/control/control_test.go
@@ -175,7 +175,9 @@
 		name string
 		each int64 // between two retrievals of a router for the member
 		from int64 // after its start
-	}{{"all ask all the time", second / 5, 0}, {"a thin slice", 5 * second, 0}, {"all at once after a while", second / 5, 8 * second}} {
+		some int64 // one router in ten asks so many times as often
+	}{{"all ask all the time", second / 5, 0, 1}, {"a thin slice", 5 * second, 0, 1}, {"some see ten times the mean", 5 * second, 0, 10},
+		{"all at once after a while", second / 5, 8 * second, 1}} {
 		t.Run(c.name, func(t *testing.T) {
 			type sending struct {
 				at     int64
@@ -192,7 +194,11 @@
 				r.Listed(start, append([]Listing{line}, fleet[3:]...), true)
 				r.Listed(start, fleet[:2], false)
 				r.saved(start, r.members[3], 0.5, 0, window) // it has been looked at since its start
-				for now := start + c.from + int64(n)*c.each/routers; now < start+16*second; now += c.each {
+				each := c.each
+				if n%10 == 0 {
+					each /= c.some
+				}
+				for now := start + c.from + int64(n)*each/routers; now < start+16*second; now += each {
 					if amount := 0.5; r.fits(now, r.members[3], amount) {
 						all = append(all, sending{now, amount})
 						r.members[3].spent = append(r.members[3].spent, charge{now, amount})
--- a/lab/cluster.go
+++ b/lab/cluster.go
@@ -20,8 +20,8 @@
 	"tealpath/fleet"
 	"tealpath/operator"
 	"tealpath/standin/cache"
-	"tealpath/standin/journal"
 	"tealpath/standin/keys"
+	"tealpath/standin/lists"
 	"tealpath/standin/relay"
 )
 
@@ -60,7 +60,7 @@
 	Names   []string
 	Caches  []*cache.Cache
 	Ways    map[[2]string]*relay.Relay // by from and to
-	journal *journal.Journal
+	journal *lists.Service
 	mu      sync.Mutex
 	running map[string]*exec.Cmd
 	lives   map[string]int
@@ -101,7 +101,7 @@
 	s.Sockets, s.MemoryMB = cmp.Or(s.Sockets, 1024), cmp.Or(s.MemoryMB, 32)
 	c := &Cluster{Setup: s, clients: map[string]string{}, Ways: map[[2]string]*relay.Relay{}, running: map[string]*exec.Cmd{}, lives: map[string]int{}}
 	var err error
-	if c.journal, err = journal.Start(); err != nil {
+	if c.journal, err = lists.Start(); err != nil {
 		return nil, err
 	}
 	var members []string
