--- a/config/settings.go
+++ b/config/settings.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -16,6 +17,7 @@
 	whole
 	flag
 	text
+	word // text that the wire has in words of its own
 )
 
 // naming maps where a setting stands in the settings to the name and form in which the module is given
@@ -64,9 +66,9 @@
 	{"obligations", "fallS", "cold.window", seconds},
 	{"obligations", "stopSendingWithinS", "drain.grace", seconds},
 	{"obligations", "graceToAnswerS", "answer.grace", seconds},
-	{"report", "fields", "report.fields", text}, {"report", "source", "report.mode", text},
+	{"report", "fields", "report.fields", word}, {"report", "source", "report.mode", text},
 	{"profiles", "name", "product.names", text}, {"profiles", "points", "product.payoff", number},
-	{"profiles", "effect", "product.effect", text}, {"profiles", "keyScope", "product.scope", text},
+	{"profiles", "effect", "product.effect", word}, {"profiles", "keyScope", "product.scope", text},
 	{"profiles", "dedupWindowS", "product.window", seconds},
 	{"profiles", "onTimeS", "product.due", seconds},
 	{"profiles", "aimStretch", "product.dueStretch", number},
@@ -76,7 +78,8 @@
 	{"callers", "marksRetry", "client.marksRepeats", flag},
 }
 
-// words says in the module's terms what the wire says in its own.
+// words says in the module's terms what the wire says in its own. Names are never translated: a class that another customer
+// calls "backlog" was known as "queued", and each of its requests passed for a bad client's.
 var words = map[string]string{
 	"retryable": "harmless", "dedup": "stamped", "fragile": "one-shot",
 	"outstanding": "inHand", "utilization": "busy", "backlog": "queued", "recent_ms": "answerMs",
@@ -153,11 +156,12 @@
 		}
 	case text:
 		if s, ok := value.(string); ok || value == nil {
-			if ours, known := words[s]; known {
-				s = ours
-			}
 			return s, nil
 		}
+	case word:
+		if s, ok := value.(string); ok || value == nil {
+			return cmp.Or(words[s], s), nil
+		}
 	}
 	return nil, fmt.Errorf("unexpected value %#v", value)
 }
--- a/control/control.go
+++ b/control/control.go
@@ -332,7 +332,7 @@
 // repeatable tells whether a further dispatch is allowed, by number and payoff, and does no harm: rule 2.
 func (r *Router) repeatable(now int64, t *Retrieval) bool {
 	allowed := min(int(get(r.set, "dispatches.most", int64(3))), 2+int(2*t.product.payoff/r.most(payoff)))
-	return len(t.dispatches) < allowed && now < t.HardStop && (t.product.effect == "harmless" ||
+	return !t.NoMore && len(t.dispatches) < allowed && now < t.HardStop && (t.product.effect == "harmless" ||
 		!slices.ContainsFunc(t.dispatches, func(d *dispatch) bool {
 			return d.mayHaveRun() && (t.product.effect != "stamped" || now >= d.sent+t.product.window)
 		}))
@@ -438,6 +438,11 @@
 		d.lateFrom += 2 * r.dueIn(t, 0) // it may be large, and then it draws on the links still
 	}
 	out := Dispatch{Cache: cache.ID, Within: t.HardStop - now, Reach: t.unwrittenMost() - now}
+	for _, before := range t.dispatches {
+		if t.product.effect == "stamped" && before.mayHaveRun() { // its repeats are dropped for so long, late links or not
+			out.Reach = min(out.Reach, before.sent+t.product.window-now)
+		}
+	}
 	t.dispatches = append(t.dispatches, d)
 	t.out++
 	for _, m := range []*member{cache, source} {
--- a/control/types.go
+++ b/control/types.go
@@ -29,6 +29,7 @@
 	HardStop int64   // when the client gives up on this try
 	Repeat   bool    // marked as a client's repeat
 	Write    bool
+	NoMore   bool // its client has closed its side: what is in flight is waited for, nothing more is sent
 
 	progress
 }
--- a/router/events.go
+++ b/router/events.go
@@ -29,6 +29,10 @@
 // Left tells that a client's connection has ended.
 type Left struct{ Client ClientID }
 
+// HalfClosed tells that a client has closed its side of a connection. It may still read: what is in flight for it is answered,
+// but nothing more is sent for it.
+type HalfClosed struct{ Client ClientID }
+
 // Up tells that a link that was dialled stands.
 type Up struct{ Link LinkID }
 
@@ -44,6 +48,7 @@
 	ID     string
 	Result control.Result
 	Same   bool // the client's copy is the one
+	Bare   bool // Faulty for nothing but this: it does not say which copy it is, and from when
 	Body   []byte
 	Note   int64
 	Waited int64
@@ -126,6 +131,7 @@
 	ID, Product, Object, Part string
 	Body                      []byte
 	Mine                      string // the tag of the client's copy
+	Key                       string // the client's idempotency key, by which repeats are dropped
 	Budget                    int64
 	Source                    string // instance from which a miss is filled; empty is no fill
 	Dispatch                  control.Dispatch
--- a/router/links.go
+++ b/router/links.go
@@ -51,6 +51,7 @@
 	if tag := h.fields["got"]; isHex(tag) {
 		d.request.Mine = tag
 	}
+	d.request.Key = h.fields["unique"]
 	if !plan.Plain {
 		if d.source = r.byID[plan.Source]; d.source != nil {
 			d.request.Source = d.source.Instance
@@ -67,11 +68,12 @@
 	d.link.open[d.request.ID] = d
 	d.link.used = r.now
 	d.until = r.now + within
+	d.reach = min(d.until, r.now+plan.Reach)
 	if d.link.up {
 		r.write(d)
 		return
 	}
-	d.ends = r.due.Push(min(d.until, r.now+plan.Reach), task{dispatch: d})
+	d.ends = r.due.Push(d.reach, task{dispatch: d})
 }
 
 // pick gives the least used link to a member, or dials one. A link on which this id was given up before is
@@ -170,6 +172,13 @@
 	if l == nil {
 		return
 	}
+	for _, d := range r.inOpen(l) {
+		if !l.up && r.now >= d.reach {
+			// Its time came in the same moment or before, and only the timer was late: it was written past its deadline, or past
+			// the window in which its repeats are dropped.
+			r.late(d)
+		}
+	}
 	l.up, l.heard = true, r.now
 	r.limits.Plan.Stood(l.member.Instance)
 	for _, d := range r.inOpen(l) {
--- a/router/router.go
+++ b/router/router.go
@@ -48,8 +48,8 @@
 
 	clients map[ClientID]map[int32]*hand
 	hands   int
-	ids     map[string]bool // of retrievals in hand
-	bytes   int             // of the bodies of retrievals in hand
+	ids     map[string]*hand // retrievals in hand, by their id
+	bytes   int              // of the bodies of retrievals in hand
 	members map[string]*member
 	byID    map[uint32]*member
 	links   map[LinkID]*link
@@ -66,6 +66,7 @@
 	mayProbe                           bool
 	flow                               float64 // bytes a second of one answer; 0 is not told
 	products                           []string
+	harmless, neverKept                []bool // by product: it may run again; no cache keeps it
 	location                           string
 	notCaches                          []string // kinds of members that no dispatch goes to
 }
@@ -91,6 +92,7 @@
 	link          *link
 	request       Request
 	sent, until   int64
+	reach         int64            // until when it may be written
 	ends          *due.Entry[task] // its time-out
 	ended         bool
 }
@@ -105,12 +107,16 @@
 
 // New makes a reducer.
 func New(now int64, seed uint64, set control.Settings, limits Limits) (*Router, error) {
-	r := &Router{limits: limits, now: now, clients: map[ClientID]map[int32]*hand{}, ids: map[string]bool{},
+	r := &Router{limits: limits, now: now, clients: map[ClientID]map[int32]*hand{}, ids: map[string]*hand{},
 		members: map[string]*member{}, byID: map[uint32]*member{}, links: map[LinkID]*link{},
 		dialWithin: setting(set, "connect.within", int64(1e9)), idleAfter: setting(set, "connect.idle", int64(30e9)),
 		answerGrace: setting(set, "answer.grace", int64(0)), streams: setting(set, "connect.streams", int64(1)),
 		mayCancel: setting(set, "cancel", false), products: setting(set, "product.names", []string(nil)),
-		flow: setting(set, "answer.bytesPerS", 0.)}
+		neverKept: setting(set, "product.neverKept", []bool(nil)),
+		flow:      setting(set, "answer.bytesPerS", 0.)}
+	for _, effect := range setting(set, "product.effect", []string(nil)) {
+		r.harmless = append(r.harmless, effect == "harmless")
+	}
 	for _, stop := range setting(set, "product.hardStop", []int64(nil)) {
 		r.longest = max(r.longest, stop)
 	}
@@ -200,6 +206,8 @@
 		for _, h := range inOrder(r.clients[e.Client]) {
 			r.departed(h)
 		}
+	case HalfClosed:
+		r.halfClosed(e.Client)
 	case Up:
 		r.up(e)
 	case Down:
@@ -230,11 +238,21 @@
 	}
 	h := &hand{client: e.Client, seq: e.Seq, fields: e.Fields, body: e.Body}
 	why := h.read(r.at)
+	if old := r.ids[h.fields["txn"]]; why == "" && old != nil && old.NoMore {
+		// Its client closed and asks again on another connection, under the same id: that was taken for a bad client's.
+		sent := len(old.dispatches) > 0
+		r.finish(old, Answer{Kind: Aborted}) // the end of its connection waits for that
+		r.departed(old)
+		if sent && !r.of(h.Product, r.harmless) {
+			turnAway(Aborted, "") // it may have run
+			return
+		}
+	}
 	switch {
 	case why != "":
 	case !slices.Contains(r.products, h.Product):
 		why = "field verb names no product"
-	case r.ids[h.fields["txn"]]:
+	case r.ids[h.fields["txn"]] != nil:
 		why = "field txn is in use" // answers to the one would be taken for the other's
 	case len(h.body) > bodyMost:
 		why = "the body is too long"
@@ -256,7 +274,7 @@
 		r.clients[e.Client] = map[int32]*hand{}
 	}
 	r.clients[e.Client][e.Seq] = h
-	r.ids[h.fields["txn"]] = true
+	r.ids[h.fields["txn"]] = h
 	r.hands++
 	r.bytes += len(h.body)
 	h.ends = r.due.Push(h.HardStop+r.answerGrace, task{hand: h, last: true})
@@ -366,6 +384,35 @@
 	r.callOff(h, all)
 }
 
+// of tells whether something holds for a product.
+func (r *Router) of(product string, which []bool) bool {
+	i := slices.Index(r.products, product)
+	return i >= 0 && i < len(which) && which[i]
+}
+
+// halfClosed ends what waits for a client that has closed its side: held, or for a link that is not up. It was sent on when
+// its turn came, seconds after the client had gone. One who still reads is told at once that nothing ran.
+func (r *Router) halfClosed(client ClientID) {
+	for _, h := range inOrder(r.clients[client]) {
+		h.NoMore = true
+		waits := true
+		for _, d := range h.dispatches {
+			if !d.ended && d.link.up {
+				waits = false
+			}
+		}
+		for _, d := range slices.Clone(h.dispatches) {
+			if !d.ended && !d.link.up {
+				r.giveUp(d)
+				r.ended(d, control.Outcome{Result: control.Unsent})
+			}
+		}
+		if waits && !h.finished {
+			r.act(h, r.decide.Where(r.now, &h.Retrieval))
+		}
+	}
+}
+
 // callOff gives dispatches up, by their numbers.
 func (r *Router) callOff(h *hand, numbers []int) {
 	for _, n := range numbers {
@@ -404,14 +451,21 @@
 		return
 	}
 	l.heard = r.now
-	delete(l.past, e.ID)
 	d := l.open[e.ID]
 	if d == nil {
 		return // it was given up, or never asked
 	}
 	delete(l.open, e.ID)
-	if e.Same && d.request.Mine == "" {
+	if !r.of(d.hand.Product, r.harmless) {
+		// Some answer twice, the second time some milliseconds late: on this link it passed for the answer to a further attempt,
+		// and one that ran was taken for one that had not.
+		l.past[e.ID] = r.now
+	}
+	switch {
+	case e.Same && d.request.Mine == "":
 		e.Result = control.Faulty // no copy was named that could be good still
+	case e.Bare && r.of(d.hand.Product, r.neverKept):
+		e.Result = control.Good // what no cache keeps is no copy: it passed for spoilt, and was never served
 	}
 	if e.Result == control.Good {
 		r.finish(d.hand, Answer{Kind: Settled, Body: e.Body, Same: e.Same})
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -261,6 +261,9 @@
 	if q.Mine != "" {
 		add("mine", q.Mine)
 	}
+	if q.Key != "" {
+		add("uniq", q.Key)
+	}
 	out := resp.Head(make([]byte, 0, 96+f.Len()+len(q.Body)), 4)
 	out = resp.Text(resp.Text(out, "fetch"), q.ID)
 	return resp.Text(resp.Text(out, f.String()), q.Body)
@@ -306,13 +309,16 @@
 		fields[name] = value
 	}
 	if result == control.Good {
-		// Without them nothing proves how old the copy is.
+		// Without them nothing proves how old the copy is. What is never kept has neither.
 		_, err := strconv.ParseInt(fields["issued"], 10, 64)
-		if err != nil || fields["entity"] == "" {
+		a.Bare = fields["issued"] == "" && fields["entity"] == "" && string(words[1]) == "served"
+		if a.Bare {
+			a.Body, result = words[3], control.Faulty
+		} else if err != nil || fields["entity"] == "" {
 			return a, true
+		} else {
+			a.Same, a.Body = string(words[1]) == "still_good", words[3]
 		}
-		a.Same = string(words[1]) == "still_good"
-		a.Body = words[3]
 	}
 	a.Result = result
 	a.Note = int64(slices.Index(notes, fields["detail"]) + 1)
