--- a/feed/feed.go
+++ b/feed/feed.go
@@ -154,19 +154,24 @@
 		}
 		return start.Broke, err
 	}
+	f.calls.Called(time.Now().UnixNano())
 	conn.SetDeadline(f.patience())
 	if err := sse.Request(conn, address, path, strconv.FormatInt(f.last, 10)); err != nil {
 		return ended(err)
 	}
-	stream, err := sse.Open(conn)
+	from := &waiting{Conn: conn, feed: f}
+	stream, err := sse.Open(from)
 	if err != nil {
 		return ended(err)
 	}
+	from.stream = stream
 	for {
-		conn.SetDeadline(f.patience())
 		e, err := stream.Next()
 		if err != nil {
-			return ended(err)
+			if how, err := ended(err); !stream.Inside() && (spoke || how != start.Broke) {
+				return how, err
+			}
+			return start.Cut, err
 		}
 		f.calls.Heard()
 		if !spoke {
@@ -181,11 +186,28 @@
 			continue
 		}
 		if err := f.take(e); err != nil {
-			return ended(err)
+			return start.Cut, err
 		}
 	}
 }
 
+// waiting is a connection that is waited on for the next byte: between events for as long as a comment may take, inside one
+// for much less. One that stood still inside an event was found as late as a silent one, though it counted as told long since.
+type waiting struct {
+	net.Conn
+	feed   *Feed
+	stream *sse.Stream // nil: its head has not come
+}
+
+func (w *waiting) Read(p []byte) (int, error) {
+	until := w.feed.patience()
+	if w.stream != nil && w.stream.Inside() {
+		until = time.Now().Add(time.Duration(w.feed.calls.Stall()))
+	}
+	w.SetReadDeadline(until)
+	return w.Conn.Read(p)
+}
+
 // denied drops a list known before; the service is asked for all it has.
 func (f *Feed) denied() error {
 	f.kept, f.last = nil, 0
--- a/front/front.go
+++ b/front/front.go
@@ -33,7 +33,8 @@
 	idleMost  = 10 * time.Second // with no request open; clients close what is idle after 4 s
 	acceptGap = 10 * time.Millisecond
 
-	lingerMost  = 2 * time.Second // for a client to read its last answers
+	lingerMost  = 2 * time.Second        // for a client to read its last answers
+	shutMost    = 200 * time.Millisecond // for a client that is owed nothing to see the end
 	lingerGap   = time.Millisecond
 	lingerBytes = 32 << 10 // thrown away between two gaps: one that sends without end gets little of the core
 )
@@ -99,6 +100,10 @@
 	table  *idle.Table
 	keep   *Keep
 	at     []place // by the table's IDs
+
+	closing []closing   // parked connections at their end; guarded by places
+	shut    atomic.Bool // the listener is closed as this router ends
+	closed  atomic.Bool // and nothing that was accepted is still to be taken in
 }
 
 // New makes a front on a listener; post takes what comes in.
@@ -141,6 +146,11 @@
 				return nil
 			}
 			if errors.Is(err, net.ErrClosed) {
+				if f.shut.Load() {
+					f.closed.Store(true)
+					<-ctx.Done() // the connections there are go on to their ends
+					return nil
+				}
 				return err
 			}
 			if !failing {
@@ -277,16 +287,26 @@
 	return false
 }
 
-// takeOut closes a connection, unless something has come on it that is not read yet: whoever asked is answered.
+// takeOut ends a connection, unless something has come on it that is not read yet: whoever asked is answered. What comes in
+// this very moment is not taken any more. Its reader half-closes it and reads on for a moment: closed at once over unread
+// bytes it was reset, and with that went the last answer where the client had not read it.
 func (c *client) takeOut() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.shut {
+		return true
+	}
 	if !c.lingering && (len(c.open) > 0 || len(c.queue) > 0 || c.writing || pending(c.conn)) {
 		c.reading, c.used = true, time.Now() // as its reader will find soon; looked at again and again it hid the others
 		c.settle()
 		return false
 	}
-	c.conn.Close()
+	if c.lingering {
+		c.conn.Close() // it has had its time
+		return true
+	}
+	c.shut = true
+	c.conn.SetReadDeadline(time.Now())
 	return true
 }
 
@@ -376,6 +396,7 @@
 	offended  bool           // it sent what no usual client sends: it gets its answers and nothing more is read
 	ending    bool           // nothing more is read: it ends once all is answered
 	lingering bool           // it has had its last answer
+	shut      bool           // told that it ends: what is read from now on is not taken, the client sends it again elsewhere
 	gone      bool           // nothing more is queued
 	parking   bool           // it gives up its goroutines and buffers
 
@@ -414,8 +435,12 @@
 		clear(c.open) // the client has gone
 		c.conn.Close()
 	}
-	offended := c.offended
+	offended, halfClosed := c.offended, len(c.open) > 0 && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF))
 	c.mu.Unlock()
+	if halfClosed && !offended {
+		// It may have gone, or read on: what is in flight is answered, what still waits is not sent for nobody.
+		c.front.post(router.HalfClosed{Client: c.id})
+	}
 	if offended {
 		// What else it asked for is not served either, and not at the cost of others.
 		c.front.post(router.Left{Client: c.id})
@@ -462,7 +487,11 @@
 	c.lingering = true
 	c.settle()
 	c.mu.Unlock()
-	for end := time.Now().Add(lingerMost); time.Now().Before(end); time.Sleep(lingerGap) {
+	most := lingerMost
+	if c.isShut() {
+		most = shutMost
+	}
+	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(lingerGap) {
 		tcp.SetReadDeadline(end)
 		if _, err := io.CopyN(io.Discard, tcp, lingerBytes); err != nil {
 			return
@@ -470,6 +499,9 @@
 	}
 }
 
+// errShut ends the reading from a connection that is told that it ends.
+var errShut = errors.New("front: shut")
+
 // errOffence ends the reading from a client that offended.
 var errOffence = errors.New("front: a client sent what no usual one sends")
 
@@ -477,7 +509,7 @@
 // is still answered: the client has closed its side only, or sent what cannot be understood. One that closed
 // both sides shows by the first answer to it.
 func endsReading(err error) bool {
-	for _, e := range []error{thrift.ErrFrame, thrift.ErrVersion, io.EOF, io.ErrUnexpectedEOF, os.ErrDeadlineExceeded} {
+	for _, e := range []error{errShut, thrift.ErrFrame, thrift.ErrVersion, io.EOF, io.ErrUnexpectedEOF, os.ErrDeadlineExceeded} {
 		if errors.Is(err, e) {
 			return true
 		}
@@ -493,8 +525,14 @@
 		if c.bad() {
 			return errOffence
 		}
+		if c.isShut() {
+			return errShut // asked after the deadline was set, as whoever shuts it sets one that has passed
+		}
 		if _, err := in.Peek(1); err != nil {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
+				if c.isShut() {
+					return errShut
+				}
 				if !c.idle() || pending(c.conn) {
 					continue
 				}
@@ -511,6 +549,9 @@
 		if c.bad() {
 			return errOffence
 		}
+		if c.isShut() {
+			return errShut
+		}
 		frame, err := c.frame(ctx, in)
 		if err != nil {
 			return err
@@ -519,7 +560,9 @@
 		if err != nil {
 			return err
 		}
-		c.message(m)
+		if !c.message(m) {
+			return errShut
+		}
 		c.note(in.Buffered() > 0)
 	}
 }
@@ -569,15 +612,19 @@
 	return frame, err
 }
 
-// message takes a message in. A client that sent what cannot be used is told so, and no more is read from it.
-func (c *client) message(m thrift.Message) {
+// message takes a message in, unless the connection was shut before that. A client that sent what cannot be used is told so,
+// and no more is read from it.
+func (c *client) message(m thrift.Message) bool {
+	if c.isShut() {
+		return false
+	}
 	fault := func(kind int, text string) {
 		c.send(thrift.Answer{Method: m.Name, Seq: m.Seq, Fault: kind, Text: text})
 		c.offend()
 	}
 	if m.Type != thrift.Call && m.Type != thrift.Oneway {
 		fault(thrift.InvalidType, "not a call")
-		return
+		return true
 	}
 	args, err := thrift.ParseArguments(m.Body)
 	switch {
@@ -600,8 +647,11 @@
 			fault(thrift.BadSequence, "sequence number in use")
 		case tooMany:
 			c.send(thrift.Answer{Method: m.Name, Seq: m.Seq, Field: 1})
+		case tooLate:
+			return false
 		}
 	}
+	return true
 }
 
 // What may become of a request that comes.
@@ -609,6 +659,7 @@
 	entered = iota
 	inUse
 	tooMany
+	tooLate
 )
 
 // enter notes a request as open, if it may be.
@@ -616,6 +667,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
+	case c.shut:
+		return tooLate
 	case c.open[seq]:
 		return inUse
 	case len(c.open) >= c.front.limits.Open:
@@ -647,6 +700,12 @@
 	return c.offended
 }
 
+func (c *client) isShut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.shut
+}
+
 func (c *client) idle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -656,7 +715,13 @@
 func (c *client) flushed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.queue) == 0 && !c.writing && (c.ending || !c.reading && !pending(c.conn))
+	return len(c.queue) == 0 && !c.writing && (c.ending || c.shut || !c.reading && !pending(c.conn))
+}
+
+func (c *client) isLingering() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lingering
 }
 
 func (c *client) signal() {
--- a/front/park/park_linux.go
+++ b/front/park/park_linux.go
@@ -123,8 +123,7 @@
 	if l.busy.Load() {
 		return true
 	}
-	n, err := unix.Poll([]unix.PollFd{{Fd: int32(l.fd), Events: unix.POLLIN}}, 0)
-	return err == nil && n > 0
+	return Readable(l.fd)
 }
 
 // Resume makes a connection of a parked descriptor again, which is closed either way.
@@ -155,5 +154,35 @@
 	return false, true
 }
 
+// Forget takes a descriptor out of the set: nothing is told of it any more.
+func (l *Lot) Forget(fd int) { unix.EpollCtl(l.fd, unix.EPOLL_CTL_DEL, fd, nil) }
+
+// Shut half-closes a parked connection: its other side sees the end and may still be read from.
+func Shut(fd int) { unix.Shutdown(fd, unix.SHUT_WR) }
+
+// drainMost is how much is read of what nobody waits for, at a time.
+const drainMost = 32 << 10
+
+// Drain reads and throws away what has come on a descriptor, some of it at a time, and tells whether the other side has ended.
+func Drain(fd int) (ended bool) {
+	buffer := make([]byte, 4<<10)
+	for range drainMost / len(buffer) {
+		n, _, err := unix.Recvfrom(fd, buffer, unix.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, unix.EAGAIN), errors.Is(err, unix.EINTR):
+			return false
+		case err != nil || n == 0:
+			return true
+		}
+	}
+	return false
+}
+
+// Readable tells whether a descriptor can be read from, or a listener accepted from.
+func Readable(fd int) bool {
+	n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	return err == nil && n > 0
+}
+
 // Close closes a parked connection.
 func Close(fd int) { unix.Close(fd) }
--- a/front/park/park_other.go
+++ b/front/park/park_other.go
@@ -30,6 +30,18 @@
 // Resume is not to be had.
 func (*Lot) Resume(int) (net.Conn, error) { return nil, errors.ErrUnsupported }
 
+// Forget is not to be had.
+func (*Lot) Forget(int) {}
+
+// Shut is not to be had.
+func Shut(int) {}
+
+// Drain is not to be had.
+func Drain(int) bool { return true }
+
+// Readable is not to be had.
+func Readable(int) bool { return false }
+
 // Came is not to be had.
 func Came(int) (some, ended bool) { return false, false }
 
--- a/front/rest.go
+++ b/front/rest.go
@@ -5,7 +5,10 @@
 	"errors"
 	"fmt"
 	"hash/maphash"
+	"maps"
 	"net"
+	"slices"
+	"syscall"
 	"time"
 
 	"github.com/gaissmai/bart"
@@ -86,6 +89,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
+	case c.shut:
+		return true, errShut
 	case !c.answered:
 		return true, nil
 	case !c.front.parks() || len(c.open) > 0 || len(c.queue) > 0 || c.writing || c.offended:
@@ -169,9 +174,7 @@
 			f.table.Move(time.Now().UnixNano(), id, idle.Busy)
 			return false
 		}
-		park.Close(fd)
-		f.at[id] = place{fd: -1}
-		f.table.Gone(id)
+		f.shutParked(id)
 		return true
 	}
 	f.places.Unlock()
@@ -190,6 +193,106 @@
 	return true
 }
 
+// closing is a descriptor that was parked and is told that it ends.
+type closing struct {
+	fd    int
+	until time.Time
+}
+
+// shutParked half-closes a parked connection on which nothing has come, and frees its place; places are locked. What comes in
+// this very moment is read and thrown away until the client has seen the end, or for a moment: closing over it reset the
+// connection.
+func (f *Front) shutParked(id idle.ID) {
+	fd := int(f.at[id].fd)
+	f.at[id] = place{fd: -1}
+	f.table.Gone(id)
+	f.lot.Forget(fd)
+	park.Shut(fd)
+	if len(f.closing) > f.limits.Connections/closingPart {
+		park.Close(f.closing[0].fd)
+		f.closing = f.closing[1:]
+	}
+	f.closing = append(f.closing, closing{fd, time.Now().Add(shutMost)})
+}
+
+// closingPart is the part of the connections that may be at their end beside those that are counted.
+const closingPart = 8
+
+// closeShut closes parked connections that were told that they end, once their clients have closed too or their time is up.
+func (f *Front) closeShut() {
+	f.places.Lock()
+	defer f.places.Unlock()
+	now := time.Now()
+	f.closing = slices.DeleteFunc(f.closing, func(c closing) bool {
+		over := park.Drain(c.fd) || now.After(c.until)
+		if over {
+			park.Close(c.fd)
+		}
+		return over
+	})
+}
+
+// Shut tells every connection that is owed nothing that it ends, and closes the listener once nobody waits behind it: what
+// waits there is taken in first. Called again it goes on with what had something open before.
+func (f *Front) Shut() {
+	if !f.shut.Load() && !f.backlog() {
+		f.shut.Store(true)
+		f.listener.Close()
+	}
+	f.mu.Lock()
+	clients := slices.Collect(maps.Values(f.clients))
+	f.mu.Unlock()
+	for _, c := range clients {
+		if !c.isLingering() {
+			c.takeOut()
+		}
+	}
+	f.places.Lock()
+	for id := range f.at {
+		if f.at[id].fd >= 0 {
+			if some, _ := park.Came(int(f.at[id].fd)); !some {
+				f.shutParked(idle.ID(id))
+			}
+		}
+	}
+	f.places.Unlock()
+	f.closeShut()
+}
+
+// Open is how many connections have not ended, with the listener where it stands still.
+func (f *Front) Open() int {
+	open := 0
+	if !f.closed.Load() {
+		open = 1
+	}
+	f.mu.Lock()
+	open += len(f.clients)
+	f.mu.Unlock()
+	f.places.Lock()
+	defer f.places.Unlock()
+	for _, p := range f.at {
+		if p.fd >= 0 {
+			open++
+		}
+	}
+	return open + len(f.closing)
+}
+
+// backlog tells whether a connection waits to be accepted.
+func (f *Front) backlog() bool {
+	listener, ok := f.listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waits := false
+	raw.Control(func(fd uintptr) { waits = park.Readable(int(fd)) })
+	return waits
+}
+
 // Counts is how many connections are in which state.
 type Counts struct {
 	All     int `json:"all"`
@@ -240,6 +343,7 @@
 			}
 			f.evict(id)
 		}
+		f.closeShut()
 		timer.Reset(wait)
 	}
 }
@@ -363,6 +467,10 @@
 			f.at[id].fd = -1
 		}
 	}
+	for _, c := range f.closing {
+		park.Close(c.fd)
+	}
+	f.closing = nil
 }
 
 // refused logs that somebody was at a bound of the operator's, once in a while.
--- a/plan/leave/leave.go
+++ b/plan/leave/leave.go
@@ -17,12 +17,16 @@
 	// and their connections were closed before they were written: 7 of 69,000 in one day of 300 routers.
 	answerAfter = 350 * time.Millisecond
 	writeAfter  = killAfter - 100*time.Millisecond
+
+	// shutMost is for how long clients that are told that their connections end are waited for.
+	shutMost = 250 * time.Millisecond
 )
 
 // Plan is one leaving.
 type Plan struct {
 	since   int64 // Unix ns
 	longest time.Duration
+	done    int64 // since when nothing is owed; 0: something is
 }
 
 // New plans a leaving that began at a time, Unix ns, for clients that wait so long at most.
@@ -38,13 +42,41 @@
 	Hands   int  // retrievals in hand
 	Queued  int  // events that have come and are not seen to
 	Flushed bool // every answer has been written, and nothing has come that is not read
+	Open    int  // connections that have not ended, the listener with them
 }
 
-// Over tells whether the router may go: when all is answered and written and nothing comes any more, or when its time is up.
-func (p *Plan) Over(now int64, s State) bool {
+// Step is what a router that leaves does now.
+type Step int
+
+// The steps, in order. Serve goes on as before; Shut tells the connections that are owed nothing that they end, and goes on
+// serving the others; Go ends the process.
+const (
+	Serve Step = iota
+	Shut
+	Go
+)
+
+func (s Step) String() string { return []string{"serve", "shut", "go"}[s] }
+
+// Next says what to do now. All is over when all is answered and written, nothing comes any more, and those connections have
+// ended or had their moment; or when the time is up. Closed without that moment, a connection on which something had just come
+// was reset, and what its client had not read by then was lost to it.
+func (p *Plan) Next(now int64, s State) Step {
 	spent := time.Duration(now - p.since)
-	if spent >= p.longest+writeAfter {
-		return true
+	owed := s.Hands > 0 || s.Queued > 0 || !s.Flushed
+	switch {
+	case spent >= p.longest+writeAfter:
+		return Go
+	case spent <= stillComing:
+		return Serve
+	case owed:
+		p.done = 0
+		return Shut
+	case p.done == 0:
+		p.done = now
+	}
+	if s.Open == 0 || now-p.done >= int64(shutMost) {
+		return Go
 	}
-	return spent > stillComing && s.Hands == 0 && s.Queued == 0 && s.Flushed
+	return Shut
 }
--- a/plan/leave/leave_test.go
+++ b/plan/leave/leave_test.go
@@ -7,42 +7,61 @@
 
 const ms = int64(time.Millisecond)
 
-func TestOver(t *testing.T) {
-	done := State{Flushed: true}
+func TestNext(t *testing.T) {
+	done, open := State{Flushed: true}, State{Flushed: true, Open: 2}
 	for _, c := range []struct {
 		name    string
 		longest time.Duration
 		at      int64 // ms after the start
 		state   State
-		want    bool
+		want    Step
 	}{
-		{"requests may still come", time.Second, 700, done, false},
-		{"all done", time.Second, 701, done, true},
-		{"in hand", time.Second, 1300, State{Hands: 1, Flushed: true}, false},
-		{"come and not seen to", time.Second, 1300, State{Queued: 1, Flushed: true}, false},
-		{"not written", time.Second, 1599, State{}, false},
-		{"not written in time", time.Second, 1600, State{}, true},
-		{"in hand at the end", time.Second, 1600, State{Hands: 1}, true},
-		{"a longer wait than the platform leaves", time.Minute, 3599, State{}, false},
-		{"and its end", time.Minute, 3600, State{}, true},
+		{"requests may still come", time.Second, 700, done, Serve},
+		{"all done", time.Second, 701, done, Go},
+		{"connections rest", time.Second, 701, open, Shut},
+		{"in hand", time.Second, 1300, State{Hands: 1, Flushed: true}, Shut},
+		{"come and not seen to", time.Second, 1300, State{Queued: 1, Flushed: true}, Shut},
+		{"not written", time.Second, 1599, State{}, Shut},
+		{"not written in time", time.Second, 1600, State{}, Go},
+		{"in hand at the end", time.Second, 1600, State{Hands: 1}, Go},
+		{"a connection that never ends, at the end", time.Second, 1600, open, Go},
+		{"a longer wait than the platform leaves", time.Minute, 3599, State{}, Shut},
+		{"and its end", time.Minute, 3600, State{}, Go},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			if got := New(5*ms, c.longest).Over((5+c.at)*ms, c.state); got != c.want {
-				t.Errorf("over: %v, want %v", got, c.want)
+			if got := New(5*ms, c.longest).Next((5+c.at)*ms, c.state); got != c.want {
+				t.Errorf("%v, want %v", got, c.want)
 			}
 		})
 	}
 }
 
+// Who is told that its connection ends has a moment to see it, counted from when nothing is owed to anybody; who never does
+// holds nobody up.
+func TestClientsHaveAMomentToSeeTheEnd(t *testing.T) {
+	p := New(0, 5*time.Second)
+	open, owed := State{Flushed: true, Open: 1}, State{Hands: 1, Open: 2}
+	for _, c := range []struct {
+		at    int64
+		state State
+		want  Step
+	}{{600, open, Serve}, {800, open, Shut}, {900, owed, Shut}, {2000, open, Shut}, {2249, open, Shut}, {2250, open, Go},
+		{2100, State{Flushed: true}, Go}} {
+		if got := p.Next(c.at*ms, c.state); got != c.want {
+			t.Errorf("after %d ms with %+v: %v, want %v", c.at, c.state, got, c.want)
+		}
+	}
+}
+
 // The last answers were given in the step that ended the process: whatever clients may wait, there is time to write them,
 // and all is over before the platform kills.
 func TestLastAnswersHaveTimeToBeWritten(t *testing.T) {
 	for longest := time.Duration(0); longest < 10*time.Second; longest += 50 * time.Millisecond {
 		p := New(0, longest)
-		if p.Over(p.AnswerBy()+200*ms, State{}) {
+		if p.Next(p.AnswerBy()+200*ms, State{}) == Go {
 			t.Fatalf("longest %v: over 200 ms after the last answer", longest)
 		}
-		if kill := int64(min(longest, 3*time.Second) + 700*time.Millisecond); !p.Over(kill-50*ms, State{Hands: 1}) {
+		if kill := int64(min(longest, 3*time.Second) + 700*time.Millisecond); p.Next(kill-50*ms, State{Hands: 1}) != Go {
 			t.Fatalf("longest %v: not over 50 ms before it is killed", longest)
 		}
 	}
--- a/plan/start/calls.go
+++ b/plan/start/calls.go
@@ -53,23 +53,32 @@
 	quietFirstMax = 7 * second         // who gives up in the queue and calls again keeps the queue as long as it is
 	quietGrows    = 4
 	quietAgain    = againMost * 2 / 3 // until the next call then, at least
+
+	// What is asked for counts as told at once. So a call whose answer is cut off is made again at once, so often; the usual
+	// spread was longer than the grace for drains, 250 ms, and two requests went to a cache that drained.
+	cutAgain  = 2
+	cutSpread = 20 * millisecond
+	cutYoung  = second // a comment comes each second: by then what had to be told has been
+	stallPart = 3      // of the shortest grace for which an event that has begun may stand still
+	stallMost = quietMost
 )
 
 // End is how a call ended, or the connection that it made.
 type End int
 
 // The ends. Refused proves that nobody is there; Unreached is silence on dialling; Unanswered took the call and never said
-// anything; Broke and Silent had said something before.
+// anything; Broke and Silent had said something before; Cut ended or stood still inside an event, or before anything whole.
 const (
 	Refused End = iota
 	Unreached
 	Unanswered
 	Broke
 	Silent
+	Cut
 )
 
 func (e End) String() string {
-	return []string{"refused", "unreached", "unanswered", "broke", "silent"}[e]
+	return []string{"refused", "unreached", "unanswered", "broke", "silent", "cut"}[e]
 }
 
 // Calls decides when one router calls the list service. It is not safe for use by two goroutines at once.
@@ -83,6 +92,9 @@
 	heard   bool  // since the last end
 	listed  bool  // a list of members is known
 	quiet   int64 // patience with the first byte
+	called  int64 // when the last call was made
+	cuts    int   // answers in a row that were cut off soon after it
+	grace   int64 // the shortest in which a router has to heed what it is told; 0 is not known
 }
 
 // NewCalls makes the calls of one of so many routers.
@@ -111,6 +123,20 @@
 	return c.draw(c.spread(breakRate, moveSpreadMost))
 }
 
+// Called notes that a call is made.
+func (c *Calls) Called(now int64) { c.called = now }
+
+// Heed notes the shortest grace in which what is told is to be heeded.
+func (c *Calls) Heed(grace int64) { c.grace = grace }
+
+// Stall is for how long an event that has begun may stand still.
+func (c *Calls) Stall() int64 {
+	if c.grace <= 0 {
+		return stallMost
+	}
+	return min(c.grace/stallPart, stallMost)
+}
+
 // Heard notes that something whole came: an event or a comment.
 func (c *Calls) Heard() {
 	c.heard, c.quiet, c.last = true, quietFirst, 0
@@ -132,6 +158,11 @@
 func (c *Calls) Ended(now int64, how End) int64 {
 	spoke := c.heard
 	c.heard = false
+	if how == Cut && now-c.called < cutYoung && c.cuts < cutAgain {
+		c.cuts++
+		return c.draw(cutSpread)
+	}
+	c.cuts = 0
 	if spoke {
 		c.by, c.once = now+toldAfterBreak, false
 		if how == Silent {
--- a/process/process.go
+++ b/process/process.go
@@ -169,7 +169,9 @@
 	})
 	group.Go(func() error { return p.front.Serve(ctx) })
 	routers, _ := p.config.Settings["routers"].(int64)
-	journal := feed.New(p.config.Journal, past, start.NewCalls(p.config.Seed, int(routers), p.holding()), post, p.line)
+	calls := start.NewCalls(p.config.Seed, int(routers), p.holding())
+	calls.Heed(p.grace())
+	journal := feed.New(p.config.Journal, past, calls, post, p.line)
 	group.Go(func() error { return journal.Run(ctx) })
 	group.Go(func() error {
 		for {
@@ -356,14 +358,28 @@
 		if leaving == nil {
 			continue
 		}
-		s := plan.State{Hands: p.router.Hands(), Queued: len(p.inbox)}
+		s := plan.State{Hands: p.router.Hands(), Queued: len(p.inbox), Open: p.front.Open()}
 		s.Flushed = s.Hands == 0 && s.Queued == 0 && p.front.Flushed()
-		if leaving.Over(time.Now().UnixNano(), s) {
+		switch leaving.Next(time.Now().UnixNano(), s) {
+		case plan.Shut:
+			p.front.Shut()
+		case plan.Go:
 			return nil
 		}
 	}
 }
 
+// grace is the shortest time in which a router has to heed what the journal service tells; 0 is not known.
+func (p *Process) grace() int64 {
+	shortest := int64(0)
+	for _, name := range []string{"drain.grace", "purge.grace"} {
+		if grace, _ := p.config.Settings[name].(int64); grace > 0 && (shortest == 0 || grace < shortest) {
+			shortest = grace
+		}
+	}
+	return shortest
+}
+
 // longest is the longest time that a client may wait.
 func (p *Process) longest() time.Duration {
 	most := time.Duration(0)
--- a/sse/sse.go
+++ b/sse/sse.go
@@ -37,9 +37,14 @@
 
 // Stream reads events.
 type Stream struct {
-	in *bufio.Reader
+	in    *bufio.Reader
+	begun bool // some lines of an event have come, not all
 }
 
+// Inside tells whether part of an event or of a line has come, and not the rest: asked from the reader that the stream was
+// opened on, or once Next has failed.
+func (s *Stream) Inside() bool { return s.begun || s.in.Buffered() > 0 }
+
 // Open reads the head of the answer to a request.
 func Open(raw io.Reader) (*Stream, error) {
 	in := bufio.NewReader(raw)
@@ -82,12 +87,14 @@
 func (s *Stream) Next() (Event, error) {
 	var e Event
 	data, some := []byte(nil), false
+	s.begun = false
 	for {
 		line, err := readLine(s.in)
 		if err != nil {
+			s.begun = s.begun || len(line) > 0
 			return Event{}, err
 		}
-		if len(line) == 0 {
+		if s.begun = len(line) > 0; !s.begun {
 			if some {
 				e.Data = bytes.TrimSuffix(data, []byte("\n"))
 				return e, nil
@@ -97,6 +104,7 @@
 		}
 		if line[0] == ':' {
 			if !some && e.ID == "" {
+				s.begun = false
 				return Event{Comment: true}, nil
 			}
 			continue
@@ -115,7 +123,7 @@
 	}
 }
 
-// readLine reads a line without its end.
+// readLine reads a line without its end; with an error what has come of it.
 func readLine(in *bufio.Reader) ([]byte, error) {
 	var line []byte
 	for {
@@ -128,7 +136,7 @@
 			continue
 		}
 		if err != nil {
-			return nil, err
+			return line, err
 		}
 		return bytes.TrimSuffix(line[:len(line)-1], []byte("\r")), nil
 	}
