--- a/feed/feed.go
+++ b/feed/feed.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strconv"
@@ -161,6 +162,9 @@
 	}
 	from := &waiting{Conn: conn, feed: f}
 	stream, err := sse.Open(from)
+	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
+		return start.Cut, err // asked, and nothing was said
+	}
 	if err != nil {
 		return ended(err)
 	}
--- a/plan/start/start_test.go
+++ b/plan/start/start_test.go
@@ -288,3 +288,36 @@
 		t.Error("words")
 	}
 }
+
+// A call whose answer is cut off is made again at once, but not without end: a service that cuts all it says is not asked by
+// hundreds at full speed.
+func TestCutAnswers(t *testing.T) {
+	for seed := range uint64(50) {
+		c := NewCalls(seed, 300, Holding{})
+		c.Listed()
+		now, calls := int64(0), 0
+		for ; now < 30*second; calls++ {
+			c.Called(now)
+			now += millisecond
+			wait := c.Ended(now, Cut)
+			if atOnce := wait < cutSpread; atOnce != (calls%(cutAgain+1) < cutAgain) {
+				t.Fatalf("call %d waits %d ms", calls, wait/millisecond)
+			}
+			now += wait
+		}
+		if calls > 90 {
+			t.Fatalf("%d calls in 30 s", calls)
+		}
+		c.Called(now)
+		c.Heard()
+		if wait := c.Ended(now+cutYoung, Cut); wait > breakSpreadMost {
+			t.Fatalf("an old connection that is cut off is followed after %d ms", wait/millisecond)
+		}
+	}
+	for _, c := range []struct{ grace, want int64 }{{0, stallMost}, {250 * millisecond, 83333333}, {60 * second, stallMost}} {
+		calls := NewCalls(1, 1, Holding{})
+		if calls.Heed(c.grace); calls.Stall() != c.want {
+			t.Errorf("with a grace of %d ms an event may stand still for %d", c.grace/millisecond, calls.Stall())
+		}
+	}
+}
--- /dev/null
+++ b/router/endings_test.go
@@ -0,0 +1,196 @@
+package router
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"tealpath/control"
+)
+
+// What a test of endings plays on: two products, one of which may run once only, and one that is kept nowhere.
+func endings(t *testing.T) *play {
+	return newPlay(t, func(_ *Limits, s control.Settings) {
+		s["product.names"] = []string{"stills", "permits"}
+		s["product.due"] = []int64{4 * second / 10, 4 * second / 10}
+		s["product.hardStop"] = []int64{25 * second / 10, 25 * second / 10}
+		s["product.payoff"] = []float64{1, 1}
+		s["product.effect"] = []string{"harmless", "one-shot"}
+		s["product.scope"] = []string{"all", "all"}
+		s["product.fresh"] = []int64{8 * second, 0}
+		s["product.neverKept"] = []bool{false, true}
+	})
+}
+
+var once = map[string]string{"verb": "permits"}
+
+func TestEndings(t *testing.T) {
+	good := Answered{Result: control.Good, Body: []byte(":bytes")}
+	bare := Answered{Result: control.Faulty, Bare: true, Body: []byte(":done")}
+	gone := HalfClosed{Client: 1}
+	for _, c := range []struct {
+		name string
+		do   func(*play)
+		want string
+	}{
+		// A client that has closed its side while its request waits: it was sent on when its turn came, seconds later.
+		{"closed while its link comes up: refused at once, and not sent", func(p *play) {
+			p.ask(1, nil)
+			p.take(gone)
+			p.pass(100 * millisecond)
+			p.up()
+			p.pass(2 * second)
+		}, "dial, dismissed 1"},
+		{"closed while in flight: it may still read", func(p *play) { p.ask(1, nil); p.up(); p.take(gone); p.answer(good) },
+			"dial, send 1, settled 1:bytes"},
+		{"closed while in flight, and that fails: no further attempt", func(p *play) {
+			p.ask(1, nil)
+			p.up()
+			p.take(gone)
+			p.answer(Answered{Result: control.Full})
+			p.pass(2 * second)
+		}, "dial, send 1, dismissed 1"},
+		{"closed while in flight, and nothing comes: no second one beside it", func(p *play) {
+			p.ask(1, nil)
+			p.up()
+			p.take(gone)
+			p.pass(3 * second)
+		}, "dial, send 1, abort 1, close 1, dismissed 1"},
+		{"closed while a one-shot is in flight that breaks: it may have run", func(p *play) {
+			p.ask(1, once)
+			p.up()
+			p.take(gone)
+			p.take(Down{Link: p.links[0]})
+		}, "dial, send 1, aborted 1"},
+		{"closed while held", func(p *play) {
+			phase := func(phase string) {
+				for _, line := range fleet[:2] {
+					line.Phase = phase
+					p.take(Listed{Lines: []Listing{line}})
+				}
+			}
+			phase("draining")
+			p.ask(1, nil)
+			p.pass(10 * millisecond)
+			if len(p.seen) > 0 {
+				p.t.Fatalf("not held: %v", p.seen)
+			}
+			p.take(gone)
+			phase("ready")
+			p.pass(2 * second)
+		}, "dismissed 1"},
+		{"closed with one of two in flight", func(p *play) {
+			p.ask(1, nil)
+			p.up()
+			p.ask(2, map[string]string{"item": elsewhere(p.t)}) // its cache has no link yet
+			p.take(gone)
+			p.answer(good)
+		}, "dial, send 1, dial, dismissed 2, settled 1:bytes"},
+
+		// The same id on another connection, whose client closed the one before.
+		{"asked again elsewhere under its id: the new one is served", func(p *play) {
+			p.ask(1, nil)
+			p.up()
+			p.take(gone)
+			p.again(1)
+			p.pass(500 * millisecond)
+		}, "dial, send 1, aborted 1, abort 1, dial"},
+		{"a one-shot asked again elsewhere under its id may have run", func(p *play) {
+			p.ask(1, once)
+			p.up()
+			p.take(gone)
+			p.again(1, "verb", "permits")
+		}, "dial, send 1, aborted 1, abort 1, aborted 1"},
+		{"its id on another connection while it is waited for", func(p *play) { p.ask(1, nil); p.up(); p.again(1); p.answer(good) },
+			"dial, send 1, unusable 1, settled 1:bytes"},
+
+		// A link that comes up in the very moment in which the time for that is over, the timer being late.
+		{"up in time", func(p *play) { p.ask(1, map[string]string{"limit": "600"}); p.now += 289 * millisecond; p.up() },
+			"dial, send 1"},
+		{"up as its time is over: not written", func(p *play) {
+			p.ask(1, map[string]string{"limit": "600"})
+			p.now += 300 * millisecond
+			p.up()
+		}, "dial, dismissed 1"},
+		{"an answer as its time is over: it is served", func(p *play) {
+			p.ask(1, map[string]string{"limit": "600"})
+			p.up()
+			p.now += 580 * millisecond
+			p.answer(good)
+		}, "dial, send 1, settled 1:bytes"},
+
+		// A second answer to the first attempt passed for one to the second: what ran went for never run, and ran twice.
+		{"a one-shot's first attempt is answered twice", func(p *play) {
+			p.ask(1, once)
+			p.up()
+			first := p.sends[0]
+			missing := Answered{Link: first.Link, ID: first.Request.ID, Result: control.Missing}
+			p.take(missing)
+			p.up()
+			p.take(missing)
+			p.answer(bare)
+		}, "dial, send 1, dial, send 1, settled 1:done"},
+
+		// What no cache keeps has no copy to be named.
+		{"an answer that names no copy, of what is never kept", func(p *play) { p.ask(1, once); p.up(); p.answer(bare) },
+			"dial, send 1, settled 1:done"},
+		{"an answer that names no copy, of what is kept", func(p *play) { p.ask(1, nil); p.up(); p.answer(bare) },
+			"dial, send 1, send 1"},
+		{"another fault of what is never kept", func(p *play) { p.ask(1, once); p.up(); p.answer(Answered{Result: control.Faulty}) },
+			"dial, send 1, aborted 1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := endings(t)
+			c.do(p)
+			for i, s := range p.seen {
+				s, _, _ = strings.Cut(s, " 10.")
+				p.seen[i] = strings.Replace(s, "000000000000000", "", 1)
+			}
+			if got := strings.Join(p.seen, ", "); got != c.want {
+				t.Errorf("effects %s\nwant    %s", got, c.want)
+			}
+			if len(p.ids) != p.hands {
+				t.Errorf("%d ids, %d in hand", len(p.ids), p.hands)
+			}
+		})
+	}
+}
+
+// elsewhere is an object whose home is another cache than the usual one's.
+func elsewhere(t *testing.T) string {
+	home := func(item string) string {
+		p := endings(t)
+		p.ask(1, map[string]string{"item": item})
+		return p.Router.links[p.links[0]].address
+	}
+	for n := range 100 {
+		if item := fmt.Sprintf("%016x", n); home(item) != home(object) {
+			return item
+		}
+	}
+	t.Fatal("all objects have one home")
+	return ""
+}
+
+// again asks under an id in use, on another connection.
+func (p *play) again(seq int32, change ...string) {
+	fields := map[string]string{"verb": "stills", "txn": fmt.Sprintf("%016x", seq), "limit": "2500", "item": object, "nth": "0", "batch": "17"}
+	for i := 0; i < len(change); i += 2 {
+		fields[change[i]] = change[i+1]
+	}
+	p.take(Requested{Client: 2, Seq: seq, Fields: fields})
+}
+
+// The idempotency key goes on with every attempt: without it a request was not as its client had sent it.
+func TestKeyGoesOn(t *testing.T) {
+	p := endings(t)
+	p.ask(1, map[string]string{"unique": "6ad8595c69c03e9f5892348d52ee1791"})
+	p.up()
+	if got := p.sends[0].Request.Key; got != "6ad8595c69c03e9f5892348d52ee1791" {
+		t.Errorf("key %q", got)
+	}
+	p.ask(2, map[string]string{"unique": "a,miss=o-a"})
+	if last := p.seen[len(p.seen)-1]; last != "unusable 2" {
+		t.Errorf("a key that would pass for fields: %s", last)
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -294,7 +294,9 @@
 		name string
 		good bool
 	}{{"verb", h.fields["verb"] != ""}, {"txn", isHex(h.fields["txn"])}, {"limit", ok1},
-		{"item", isHex(h.fields["item"])}, {"nth", ok2}, {"batch", ok3}} {
+		{"item", isHex(h.fields["item"])}, {"nth", ok2}, {"batch", ok3},
+		// It goes on in a list of fields, and must not pass for others there.
+		{"unique", !strings.ContainsAny(h.fields["unique"], ",=\r\n")}} {
 		if !f.good {
 			return "field " + f.name + " is missing or unusable"
 		}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -32,6 +32,8 @@
 			q.Source, q.Mine = "p-a", "4be0c1927d55a6f3"
 			q.Dispatch = control.Dispatch{Rank: 2, Age: 1500e6, Join: true, Held: true, NoParent: true, Renew: true}
 		}, ",miss=p-a,prio=2,within=1500,f=ride+have-only+through+update,mine=4be0c1927d55a6f3"},
+		{"an idempotency key", func(q *router.Request) { q.Key = "6ad8595c69c03e9f5892348d52ee1791" },
+			",uniq=6ad8595c69c03e9f5892348d52ee1791"},
 		{"an age under a millisecond is not left out, which would mean the fresh time",
 			func(q *router.Request) { q.Source, q.Dispatch.Age = "p-a", 1000 }, ",miss=p-a,within=1"},
 	} {
@@ -71,6 +73,9 @@
 		{"an odd age", "i|served|entity=4be0c1927d55a6f3,issued=soon|b", router.Answered{ID: "i",
 			Result: control.Faulty}, true},
 		{"no tag", "i|served|issued=1764576000123|b", router.Answered{ID: "i", Result: control.Faulty}, true},
+		{"neither: it is for who knows the product to say", "i|served|detail=TCP_MISS_ROOT|done", router.Answered{ID: "i",
+			Result: control.Faulty, Bare: true, Body: []byte("done"), Note: 3}, true},
+		{"neither, of a copy that is to hold", "i|still_good|detail=TCP_HIT|", router.Answered{ID: "i", Result: control.Faulty}, true},
 		{"an unknown word", "i|maybe|" + proof + "|b", router.Answered{ID: "i", Result: control.Faulty}, true},
 		{"words missing", "i|served", router.Answered{ID: "i", Result: control.Faulty}, true},
 		{"a sign of life", "t|green|-|", router.Answered{ID: "t", Result: control.Faulty}, false},
