--- a/control/control.go
+++ b/control/control.go
@@ -131,11 +131,12 @@
 		return r.callOff(t)
 	case t.out > 0:
 		return Decision{}
-	case (o.Result == Cancelled || o.Result == Broken) && !get(r.set, "dispatches.together", false) &&
-		now+2*holdStep < t.HardStop && r.repeatable(now, t):
-		return Decision{} // what gives it up goes another way than the next would: two were out where only one may be
+	case (o.Result != Cancelled && o.Result != Broken) || get(r.set, "dispatches.together", false) || !r.repeatable(now, t):
+		return r.next(now, t)
+	case now+2*holdStep >= t.HardStop:
+		return r.giveUp(now, t)
 	}
-	return r.next(now, t)
+	return Decision{} // what gives it up goes another way than the next would: two were out where only one may be
 }
 
 // Wait says how long to wait before asking Where again; 0 is until an outcome.
--- /dev/null
+++ b/control/endings_test.go
@@ -0,0 +1,96 @@
+package control
+
+import "testing"
+
+// Repeats of a stamped retrieval are dropped for a while from its first sending. A further attempt that waits for its link
+// longer than that would run a second time.
+func TestRepeatIsOnItsWayWithinTheWindow(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		product string
+		result  Result
+		after   int64 // ms from the first attempt to its end
+		want    int64 // ms within which the second must be on its way; 0: it is not sent
+	}{
+		{"late in the window", "stamped", Broken, 900, 100},
+		{"early in it", "stamped", Broken, 50, 950},
+		{"at its end", "stamped", Broken, 1000, 0},
+		{"nothing ran: no window binds", "stamped", Unreached, 900, 1600},
+		{"harmless", "harmless", Broken, 900, 4100},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRouter(t, Settings{"product.scope": []string{"all", "all", "all"}})
+			ret, now := ask(c.product, "a"), start
+			ret.HardStop = start + 5*second
+			r.Where(now, ret)
+			now += c.after * second / 1000
+			d := r.After(now, ret, Outcome{Result: c.result})
+			if sent := d.Verdict == Send; sent != (c.want > 0) {
+				t.Fatalf("verdict %v", d.Verdict)
+			}
+			if got := d.Dispatch.Reach * 1000 / second; d.Verdict == Send && got != c.want {
+				t.Errorf("on its way within %d ms, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+// Where two may not be out together, what gives the first up and the second go different ways, and the second may be there
+// first. So it waits a moment; but never past the client's time, and where it can't be sent nothing is held.
+func TestNoSecondBesideTheFirst(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		product  string
+		together bool
+		result   Result
+		left     int64 // ms of the client's time
+		want     Verdict
+		then     Verdict
+	}{
+		{"called off", "harmless", false, Cancelled, 2000, Wait, Send},
+		{"its link broke", "harmless", false, Broken, 2000, Wait, Send},
+		{"it is over: nothing is out", "harmless", false, Full, 2000, Send, Wait},
+		{"two may be out", "harmless", true, Cancelled, 2000, Send, Wait},
+		{"no time is left", "harmless", false, Broken, 90, Dismiss, Wait},
+		{"it may not be repeated", "once", false, Broken, 2000, Abort, Wait},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRouter(t, Settings{"dispatches.together": c.together})
+			ret, now := ask(c.product, "a"), start
+			ret.HardStop = start + 3*second
+			r.Where(now, ret)
+			now = ret.HardStop - c.left*second/1000
+			if d := r.After(now, ret, Outcome{Result: c.result}); d.Verdict != c.want {
+				t.Fatalf("at once: verdict %v, want %v", d.Verdict, c.want)
+			}
+			wait := r.Wait(now, ret)
+			if c.then == Send && (wait <= 0 || wait > 2*holdStep) {
+				t.Fatalf("asked again in %d", wait)
+			}
+			if d := r.Where(now+wait, ret); c.want == Wait && d.Verdict != c.then {
+				t.Errorf("then: verdict %v, want %v", d.Verdict, c.then)
+			}
+		})
+	}
+}
+
+// Nothing more is sent for a client that has closed its side.
+func TestNoMore(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		product string
+		result  Result
+		want    Verdict
+	}{{"harmless", "harmless", Full, Dismiss}, {"one-shot that did not run", "once", Full, Dismiss},
+		{"one-shot that may have", "once", Broken, Abort}} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRouter(t, nil)
+			ret := ask(c.product, "a")
+			r.Where(start, ret)
+			ret.NoMore = true
+			if d := r.After(start+1, ret, Outcome{Result: c.result}); d.Verdict != c.want {
+				t.Errorf("verdict %v, want %v", d.Verdict, c.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/front/endings_test.go
@@ -0,0 +1,238 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"tealpath/front/idle"
+	"tealpath/router"
+	"tealpath/thrift"
+)
+
+// held is a listener whose connections stay in the system's backlog until they are let in.
+type held struct {
+	*net.TCPListener
+	let chan struct{}
+}
+
+func (h held) Accept() (net.Conn, error) {
+	<-h.let
+	return h.TCPListener.Accept()
+}
+
+// rests brings a connection to where it has been answered and rests, parked or not.
+func rests(t *testing.T, f *Front, parked bool) net.Conn {
+	t.Helper()
+	conn := dial(t, f)
+	health(t, conn)
+	until(t, "its answer is written", f.Flushed)
+	if parked {
+		parks(t, f)
+		until(t, "it is parked", func() bool { return f.active() == 0 })
+	}
+	return conn
+}
+
+// endsGently checks that a connection was half-closed, not closed: what is written to it in the very moment is thrown away and
+// resets nothing, and the client reads its end.
+func endsGently(t *testing.T, conn net.Conn) {
+	t.Helper()
+	conn.SetDeadline(time.Now().Add(patience))
+	if got, err := io.ReadAll(conn); err != nil || len(got) > 0 {
+		t.Errorf("its end: %q, %v", got, err)
+	}
+	for range 20 { // closed, the first write was answered by a reset, and the next one failed
+		if _, err := conn.Write(message(1, "call", 7, "\x00")); err != nil {
+			t.Fatalf("it was reset: %v", err)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// A request on a resting connection, in the moment in which that is ended: it is not taken, and nothing is reset.
+func TestRestingConnectionsEndGently(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		parked bool
+		end    func(*Front, net.Conn)
+	}{
+		{"the router ends", false, func(f *Front, _ net.Conn) { f.Shut() }},
+		{"the router ends, and it is parked", true, func(f *Front, _ net.Conn) { f.Shut() }},
+		{"it makes room", false, func(f *Front, _ net.Conn) { f.evict(0) }},
+		{"it makes room, and is parked", true, func(f *Front, _ net.Conn) { f.evict(0) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f, events := serving(t, keeping(100, time.Hour))
+			conn := rests(t, f, c.parked)
+			c.end(f, conn)
+			endsGently(t, conn)
+			conn.Close()
+			until(t, "its descriptor comes back", func() bool { return f.all() == 0 && len(f.closingNow()) == 0 })
+			for len(events) > 0 {
+				if e := <-events; e != "Left" {
+					t.Errorf("%s of what came after the end", e)
+				}
+			}
+		})
+	}
+}
+
+// Who never closes its side holds a descriptor for a moment only, however many do.
+func TestClientsThatIgnoreTheEnd(t *testing.T) {
+	f, _ := serving(t, keeping(16, time.Hour))
+	parks(t, f)
+	for range 16 {
+		rests(t, f, false)
+	}
+	until(t, "all are parked", func() bool { return f.active() == 0 })
+	for id := range f.at {
+		f.evict(idle.ID(id))
+		if n := len(f.closingNow()); n > 16/closingPart+1 {
+			t.Fatalf("%d at their ends", n)
+		}
+	}
+	until(t, "all descriptors come back", func() bool { return len(f.closingNow()) == 0 })
+}
+
+// A connection that came in the very moment in which the router ends waits in the backlog: its request is answered.
+func TestBacklogIsTakenInBeforeTheEnd(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := held{listener.(*net.TCPListener), make(chan struct{})}
+	events := make(chan router.Event, 10)
+	f := New(h, keeping(10, time.Hour), func(e router.Event) { events <- e }, func(string) {})
+	ctx, cancel := context.WithCancel(context.Background())
+	over := make(chan error, 1)
+	go func() { over <- f.Serve(ctx) }()
+	conn := dial(t, f)
+	conn.Write(message(1, "call", 5, "\x00"))
+	f.Shut()
+	if f.Open() == 0 || f.Flushed() {
+		t.Fatal("nothing is open, while a request waits in the backlog")
+	}
+	close(h.let)
+	if _, ok := (<-events).(router.Requested); !ok {
+		t.Fatal("not taken in")
+	}
+	f.Shut()
+	f.Answer(router.Answer{Client: 1, Seq: 5, Body: []byte("whole")})
+	until(t, "all has ended", func() bool { f.Shut(); return f.Open() == 0 })
+	if got, err := io.ReadAll(conn); err != nil || !strings.Contains(string(got), "whole") {
+		t.Errorf("%q, %v", got, err)
+	}
+	if _, err := net.Dial("tcp", f.listener.Addr().String()); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("a later one: %v", err)
+	}
+	cancel()
+	if err := <-over; err != nil {
+		t.Error(err)
+	}
+}
+
+// What is open is answered whole before its connection ends; the others end meanwhile.
+func TestShutLeavesWhatIsOpen(t *testing.T) {
+	f, events := serving(t, keeping(10, time.Hour))
+	busy, fresh, half, resting := dial(t, f), dial(t, f), dial(t, f), rests(t, f, false)
+	busy.Write(message(1, "call", 5, "\x00"))
+	next(t, events)
+	call := message(1, "call", 6, "\x00")
+	half.Write(call[:9])
+	until(t, "all are there", func() bool { f.mu.Lock(); defer f.mu.Unlock(); return len(f.clients) == 4 })
+	until(t, "half a request has come", func() bool { return !f.Flushed() })
+	f.Shut()
+	endsGently(t, fresh)
+	endsGently(t, resting)
+	half.Write(call[9:])
+	if e := next(t, events); e != "Requested" && e != "Left" {
+		t.Error(e)
+	}
+	until(t, "both are open", func() bool { return f.opens() == 2 })
+	f.Answer(router.Answer{Client: f.clientOf(5), Seq: 5, Body: []byte("whole")})
+	f.Answer(router.Answer{Client: f.clientOf(6), Seq: 6, Body: []byte("whole")})
+	for _, conn := range []net.Conn{busy, half} {
+		until(t, "it is flushed", func() bool { return f.opens() == 0 && f.Flushed() })
+		f.Shut()
+		if got, err := io.ReadAll(conn); err != nil || !strings.Contains(string(got), "whole") {
+			t.Errorf("%q, %v", got, err)
+		}
+	}
+}
+
+// Read before the connection was shut, and looked at after it: not taken, or it was sent on for a client that sends it again.
+func TestReadBeforeTheEndAndTakenAfter(t *testing.T) {
+	f, events := serving(t, keeping(10, time.Hour))
+	conn := rests(t, f, false)
+	f.mu.Lock()
+	c := f.clients[1]
+	f.mu.Unlock()
+	m, err := thrift.Parse(message(1, "call", 7, "\x00")[4:])
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !c.takeOut() {
+		t.Fatal("it does not rest")
+	}
+	if c.message(m) || c.enter(8) != tooLate {
+		t.Error("taken")
+	}
+	endsGently(t, conn)
+	conn.Close()
+	if e := next(t, events); e != "Left" {
+		t.Error(e)
+	}
+}
+
+// A client that goes while nothing is open tells nobody that something waits.
+func TestHalfCloseWithNothingOpen(t *testing.T) {
+	f, events := serving(t, small)
+	conn := dial(t, f)
+	conn.Write(message(1, "call", 5, "\x00"))
+	next(t, events)
+	f.Answer(router.Answer{Client: 1, Seq: 5})
+	io.ReadFull(conn, make([]byte, 20))
+	conn.Close()
+	if e := next(t, events); e != "Left" {
+		t.Error(e)
+	}
+}
+
+func (f *Front) closingNow() []closing {
+	f.places.Lock()
+	defer f.places.Unlock()
+	return f.closing
+}
+
+// opens is how many requests are open.
+func (f *Front) opens() (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.clients {
+		c.mu.Lock()
+		n += len(c.open)
+		c.mu.Unlock()
+	}
+	return n
+}
+
+// clientOf is who has a request open.
+func (f *Front) clientOf(seq int32) router.ClientID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, c := range f.clients {
+		c.mu.Lock()
+		open := c.open[seq]
+		c.mu.Unlock()
+		if open {
+			return id
+		}
+	}
+	return 0
+}
--- a/front/front.go
+++ b/front/front.go
@@ -364,8 +364,11 @@
 }
 
 // Flushed tells whether every answer has been written, and nothing has come that is not taken in: on a core that is
-// shared it may wait to be read when the router ends.
+// shared it may wait to be read when the router ends, and a connection to be accepted.
 func (f *Front) Flushed() bool {
+	if f.shut.Load() && !f.closed.Load() || !f.shut.Load() && f.backlog() {
+		return false
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, c := range f.clients { // none that is parked: the lot knows what has come on those
@@ -718,6 +721,12 @@
 	return len(c.queue) == 0 && !c.writing && (c.ending || c.shut || !c.reading && !pending(c.conn))
 }
 
+func (c *client) isReading() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reading
+}
+
 func (c *client) isLingering() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/front/rest.go
+++ b/front/rest.go
@@ -243,7 +243,7 @@
 	clients := slices.Collect(maps.Values(f.clients))
 	f.mu.Unlock()
 	for _, c := range clients {
-		if !c.isLingering() {
+		if !c.isLingering() && !c.isReading() { // part of a request has come: the rest is waited for
 			c.takeOut()
 		}
 	}
