--- a/cmd/tealpath/main.go
+++ b/cmd/tealpath/main.go
@@ -102,10 +102,12 @@
 	if err := atMost(cmd, 0); err != nil {
 		return err
 	}
-	// Asked for from the first moment: a SIGHUP that nobody waits for ends the process.
+	// Asked for from the first moment: a signal that nobody waits for ends the process at once, and not as asked.
 	again := make(chan os.Signal, 1)
 	signal.Notify(again, syscall.SIGHUP)
 	defer signal.Stop(again)
+	leave, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	c, err := config.Load(os.Getenv)
 	if err != nil {
 		return cli.Exit(err, exitUsage)
@@ -114,8 +116,6 @@
 	if err != nil {
 		return cli.Exit(err, exitUsage)
 	}
-	leave, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	// Whoever reads the log must not hold the router up.
 	// Standard error is wrapped, as the writer would close it at its end: what keeps the router from starting
 	// went unsaid so.
--- a/cmd/tealpath/main_test.go
+++ b/cmd/tealpath/main_test.go
@@ -210,11 +210,16 @@
 
 func object(n int) string { return fmt.Sprintf("%016x", n) }
 
-// TestServe is the whole program over loopback, with stand-ins of caches and the journal service.
-func TestServe(t *testing.T) {
-	caches := []*stand{newStand(t, "s-a"), newStand(t, "s-b")}
-	journal, events := newJournal(t)
-	second, moved := newJournal(t)
+// program is a configuration to run the whole program by.
+type program struct {
+	address, file string
+	text          func(name, journal string) []byte
+	configure     func(name, journal string)
+}
+
+// newProgram configures a router among some caches, whose clients wait for some seconds at most.
+func newProgram(t *testing.T, caches []*stand, journal string, deadline float64) program {
+	t.Helper()
 	free, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -229,31 +234,54 @@
 		lines += fmt.Sprintf(`,{"instanceId":"%s","hostPort":"%s","zone":"%s","machineType":"%s","lifecycle":"active","weight":4}`,
 			m[0], m[1], zone, kind)
 	}
-	file := filepath.Join(t.TempDir(), "config.json")
-	configure := func(name, journal string) {
-		os.WriteFile(file, fmt.Appendf(nil, `{"name":"%s","listen":"%s","seed":"07","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+	p := program{address: address, file: filepath.Join(t.TempDir(), "config.json")}
+	p.text = func(name, journal string) []byte {
+		return fmt.Appendf(nil, `{"name":"%s","listen":"%s","seed":"07","limits":{"cores":1,"memory_mb":192,"sockets":1024},
 		"journal":"%s","known":{"pos":1,"entries":[{"pos":1,"hosts":{"instances":[%s]}}]},"settings":{"balancers":1,
 		"locality":"here","failureDomains":["hub","here"],"machineTypes":["cache","parent","origin"],"familyInfo":{
 		"upperKind":1,"rootKind":2,"zoneBalancers":[0,1],"purgeTakesS":6},"limits":{"attemptsCap":6,"cancel":true,
 		"secondCopies":true,"retryAfter":true,"maxRetryAfterS":0.5,"dialTimeoutS":0.4,"connIdleS":30,
 		"streamsPerConn":100,"maxOpen":1000},"obligations":{"graceToAnswerS":0.008},"profiles":[{"name":"stills",
-		"onTimeS":0.4,"deadlineS":1.2,"points":1,"effect":"retryable","keyScope":"all"}]}}`, name, address, journal, lines[1:]), 0o600)
+		"onTimeS":0.4,"deadlineS":%g,"points":1,"effect":"retryable","keyScope":"all"}]}}`, name, address, journal, lines[1:], deadline)
 	}
-	configure("n0", journal)
-	t.Setenv("LB_CONFIG", file)
+	p.configure = func(name, journal string) { os.WriteFile(p.file, p.text(name, journal), 0o600) }
+	p.configure("n0", journal)
+	t.Setenv("LB_CONFIG", p.file)
 	t.Setenv("LB_LISTEN", address)
+	return p
+}
+
+// start starts the program; its end comes on the channel.
+func (p program) start() chan error {
 	over := make(chan error, 1)
-	before := runtime.NumGoroutine()
 	go func() { over <- app().Run(context.Background(), []string{"tealpath", "serve"}) }()
+	return over
+}
+
+// run starts the program and waits until it listens.
+func (p program) run(t *testing.T) chan error {
+	t.Helper()
+	over := p.start()
 	for end := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
-		if conn, err := net.Dial("tcp", address); err == nil {
+		if conn, err := net.Dial("tcp", p.address); err == nil {
 			conn.Close()
-			break
+			return over
 		}
 		if time.Now().After(end) {
 			t.Fatal("it does not listen")
 		}
 	}
+}
+
+// TestServe is the whole program over loopback, with stand-ins of caches and the journal service.
+func TestServe(t *testing.T) {
+	caches := []*stand{newStand(t, "s-a"), newStand(t, "s-b")}
+	journal, events := newJournal(t)
+	second, moved := newJournal(t)
+	p := newProgram(t, caches, journal, 1.2)
+	address, file, configure := p.address, p.file, p.configure
+	before := runtime.NumGoroutine()
+	over := p.run(t)
 	c := dial(t, address)
 	waitFor := func(part string) string {
 		t.Helper()
--- a/process/process.go
+++ b/process/process.go
@@ -120,8 +120,8 @@
 	if err != nil {
 		return err
 	}
-	listener, err := listenSoon(ctx, p.config.Listen, clientAlive)
-	if err != nil {
+	listener, err := listenSoon(ctx, leave, p.config.Listen, clientAlive)
+	if listener == nil {
 		return err
 	}
 	ctx, stop := context.WithCancel(ctx)
--- a/process/sharing.go
+++ b/process/sharing.go
@@ -108,7 +108,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: fleet: %w", ErrConfig, err)
 	}
-	listener, err := listenSoon(ctx, f.Listen, net.KeepAliveConfig{Enable: true})
+	listener, err := listenSoon(ctx, nil, f.Listen, net.KeepAliveConfig{Enable: true})
 	if err != nil {
 		return nil, fmt.Errorf("links to instances: %w", err)
 	}
@@ -316,12 +316,18 @@
 	return nil
 }
 
-// listenSoon opens a listener. At a restart the process before may not have let go of the address yet.
-func listenSoon(ctx context.Context, address string, alive net.KeepAliveConfig) (net.Listener, error) {
-	for end := time.Now().Add(addressWait); ; time.Sleep(addressWait / 20) {
+// listenSoon opens a listener. At a restart the process before may not have let go of the address yet. Where this one is to end
+// meanwhile there is none, and no error.
+func listenSoon(ctx context.Context, leave <-chan struct{}, address string, alive net.KeepAliveConfig) (net.Listener, error) {
+	for end := time.Now().Add(addressWait); ; {
 		listener, err := (&net.ListenConfig{KeepAliveConfig: alive}).Listen(ctx, "tcp", address)
 		if err == nil || !isInUse(err) || time.Now().After(end) {
 			return listener, err
 		}
+		select {
+		case <-leave:
+			return nil, nil // nobody has come yet
+		case <-time.After(addressWait / 20):
+		}
 	}
 }
