A router that ends cuts the time of requests that still wait for their link

Seen: TestLeaving's request with a deadline of 7 s was failed at 3.35 s where it could be refused, when SIGTERM came before its link was up. leaving() set the time-out of an attempt to the end, but not its d.until, and write() set it back once the link was up; the cache was told the old budget. Test: reducer, 'leaving while its link comes up', fails without the change.

--- a/cmd/tealpath/endings_test.go
+++ b/cmd/tealpath/endings_test.go
@@ -31,6 +31,7 @@
 	caches := []*stand{newStand(t, "s-a"), newStand(t, "s-b")}
 	journal, _ := newJournal(t)
 	asked := func() {
+		t.Helper()
 		select {
 		case <-caches[0].asked:
 		case <-caches[1].asked:
@@ -113,6 +114,11 @@
 		}, 3600 * time.Millisecond},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			for _, s := range caches { // what the case before has left behind
+				for len(s.asked) > 0 {
+					<-s.asked
+				}
+			}
 			p := newProgram(t, caches, journal, c.deadline)
 			over := p.run(t)
 			begun := time.Now()
--- a/router/endings_test.go
+++ b/router/endings_test.go
@@ -87,6 +87,18 @@
 			p.answer(good)
 		}, "dial, send 1, dial, dismissed 2, settled 1:bytes"},
 
+		// A router that ends cuts the time of what it has.
+		{"leaving while its link comes up: its time is cut all the same", func(p *play) {
+			p.ask(1, nil)
+			p.take(Leaving{By: p.now + 300*millisecond})
+			p.pass(100 * millisecond)
+			p.up()
+			if budget := p.sends[0].Request.Budget; budget != 200*millisecond {
+				p.t.Errorf("the cache is told to answer within %d ms", budget/millisecond)
+			}
+			p.pass(201 * millisecond)
+		}, "dial, send 1, abort 1, dismissed 1"},
+
 		// The same id on another connection, whose client closed the one before.
 		{"asked again elsewhere under its id: the new one is served", func(p *play) {
 			p.ask(1, nil)
--- a/router/router.go
+++ b/router/router.go
@@ -531,8 +531,15 @@
 			h.ends = r.due.Push(e.By+r.answerGrace, task{hand: h, last: true})
 			for _, d := range h.dispatches {
 				if !d.ended {
+					// Its own time is cut, too: one that waited for its link got all of it back when that came up, and was failed
+					// where it could have been refused.
+					d.until, d.reach = min(e.By, d.until), min(e.By, d.reach)
+					at := d.reach
+					if d.link.up {
+						at = d.until
+					}
 					r.due.Remove(d.ends)
-					d.ends = r.due.Push(min(e.By, d.until), task{dispatch: d})
+					d.ends = r.due.Push(at, task{dispatch: d})
 				}
 			}
 		}
