Requests are not written to a cache that has closed; answers that trickle without end are cut off

Review of the paths that end things, links to caches. write() wrote to a connection whose end had come and was not read yet: the request went for what may have run, and a one-shot was failed. Now it counts as not sent. stalling bounded the gap between bytes only: an answer of one byte each 50 ms held its link, and all that was asked on it, to the end of its time; it has four times as long as at the configured pace.

--- a/process/process.go
+++ b/process/process.go
@@ -135,6 +135,8 @@
 	}
 	report, _ := p.config.Settings["report.fields"].([]string)
 	p.pool = upstream.New(ctx, report, post)
+	flow, _ := p.config.Settings["answer.bytesPerS"].(float64)
+	p.pool.Pace(flow)
 	connections, keep := p.keeping()
 	p.front = front.New(listener, front.Limits{Connections: connections, Keep: keep,
 		Open:  openMost,
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -6,11 +6,13 @@
 	"bufio"
 	"cmp"
 	"context"
+	"errors"
 	"net"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -24,7 +26,8 @@
 type Pool struct {
 	ctx    context.Context
 	post   func(router.Event)
-	report []string // names of the load report's fields
+	report []string      // names of the load report's fields
+	whole  time.Duration // for an answer that has begun to come whole; 0 is no bound
 
 	mu    sync.Mutex
 	links map[router.LinkID]*link
@@ -36,6 +39,17 @@
 	return &Pool{ctx: ctx, post: post, report: report, links: map[router.LinkID]*link{}}
 }
 
+// Pace notes how fast one answer is sent at the least, bytes a second: from that follows when one that has begun must have
+// come. An answer that trickled without end kept its link, and all that was asked on it waited to the end of its time.
+func (p *Pool) Pace(bytesPerS float64) {
+	if bytesPerS > 0 {
+		p.whole = stallMost + time.Duration(paceSlack*resp.BytesMost/bytesPerS*float64(time.Second))
+	}
+}
+
+// paceSlack is how many times as long as at its pace an answer may take: others share the way.
+const paceSlack = 4
+
 // Wait returns when all links have ended.
 func (p *Pool) Wait() { p.group.Wait() }
 
@@ -158,12 +172,15 @@
 type stalling struct {
 	net.Conn
 	inside bool
+	by     time.Time // when the answer must have come; zero: not bounded
 }
 
 func (s *stalling) Read(p []byte) (int, error) {
 	until := time.Time{}
 	if s.inside {
-		until = time.Now().Add(stallMost)
+		if until = time.Now().Add(stallMost); !s.by.IsZero() && s.by.Before(until) {
+			until = s.by
+		}
 	}
 	s.SetReadDeadline(until)
 	return s.Conn.Read(p)
@@ -178,6 +195,9 @@
 			return err
 		}
 		from.inside = true
+		if from.by = (time.Time{}); l.pool.whole > 0 {
+			from.by = time.Now().Add(l.pool.whole)
+		}
 		words, err := resp.Read(in)
 		if err != nil {
 			return err
@@ -189,6 +209,28 @@
 	}
 }
 
+// errEnded is the other side's end that was there before a request was written.
+var errEnded = errors.New("upstream: the other side has ended")
+
+// hasEnded tells whether the other side has closed, though its reader has not seen it yet: what is written now never runs, and
+// it is known. Written all the same it went for what may have run, and one-shots were failed.
+func hasEnded(conn net.Conn) bool {
+	c, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ended := false
+	raw.Control(func(fd uintptr) {
+		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		ended = err == nil && n == 0
+	})
+	return ended
+}
+
 // write writes what is queued. What an error cuts short goes back to the queue, where unsent finds it.
 func (l *link) write(ctx context.Context, conn net.Conn) error {
 	for {
@@ -208,7 +250,10 @@
 		for _, i := range batch {
 			out = append(out, i.bytes...)
 		}
-		n, err := conn.Write(out)
+		n, err := 0, errEnded
+		if !hasEnded(conn) {
+			n, err = conn.Write(out)
+		}
 		if err == nil {
 			continue
 		}
