--- a/cmd/tealpath/endings_test.go
+++ b/cmd/tealpath/endings_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -215,3 +216,32 @@
 	terminate()
 	ends(t, over, 1500*time.Millisecond)
 }
+
+// A start while the list service is down: a router that knows a list serves from it at once, one that knows none says so by
+// health and refuses what comes, at once, and neither is ready before it can answer.
+func TestStartWithoutTheListService(t *testing.T) {
+	caches := []*stand{newStand(t, "s-a"), newStand(t, "s-b")}
+	for _, c := range []struct {
+		name, known, good, says string
+	}{{"a list is known", "", "\x01", settled}, {"none is", `"known":null,`, "\x00", dismissed}} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newProgram(t, caches, "127.0.0.1:1", 1.2)
+			if c.known != "" {
+				text := string(p.text("n0", "127.0.0.1:1"))
+				from, to := strings.Index(text, `"known"`), strings.Index(text, `"settings"`)
+				os.WriteFile(p.file, []byte(text[:from]+c.known+text[to:]), 0o600)
+			}
+			over := p.run(t)
+			first := dial(t, p.address)
+			begun := time.Now()
+			first.want(first.call(object(1), 1200), c.says)
+			if took := time.Since(begun); took > 600*time.Millisecond {
+				t.Errorf("answered after %v", took)
+			}
+			first.send(thrift.Call, "health", 9, []byte{0})
+			first.want(9, "\x02\x00\x03"+c.good)
+			terminate()
+			ends(t, over, 1500*time.Millisecond)
+		})
+	}
+}
