--- a/feed/feed.go
+++ b/feed/feed.go
@@ -189,7 +189,9 @@
 			}
 			continue
 		}
-		if err := f.take(e); err != nil {
+		if err := f.take(e); errors.Is(err, errDoubt) {
+			return ended(err) // whole and understood: a service that has half a list is not asked by all at full speed
+		} else if err != nil {
 			return start.Cut, err
 		}
 	}
@@ -234,6 +236,9 @@
 	f.kept, f.last = nil, position
 }
 
+// errDoubt is a list that is asked for again before it counts.
+var errDoubt = errors.New("a list in doubt")
+
 // take posts an event that is the next one. One that cannot be used is asked for again, and passed over in
 // the end: what follows counts more.
 func (f *Feed) take(e sse.Event) error {
@@ -259,7 +264,7 @@
 		switch f.lists.Judge(time.Now().UnixNano(), list) {
 		case start.Doubt:
 			f.log(fmt.Sprintf("a list of %d members, %d ready, is asked for again before it counts", list.Members, list.Ready))
-			return fmt.Errorf("event %d: a list of %d members", pos, list.Members)
+			return fmt.Errorf("event %d: %w of %d members", pos, errDoubt, list.Members)
 		case start.Old:
 			return nil
 		}
--- a/plan/start/calls.go
+++ b/plan/start/calls.go
@@ -55,7 +55,8 @@
 	quietAgain    = againMost * 2 / 3 // until the next call then, at least
 
 	// What is asked for counts as told at once. So a call whose answer is cut off is made again at once, so often; the usual
-	// spread was longer than the grace for drains, 250 ms, and two requests went to a cache that drained.
+	// spread was longer than the grace for drains, 250 ms, and two requests went to a cache that drained. Who knows no list sends
+	// to nobody, and calls as ever: a service that cuts all its answers had three times the calls of a start.
 	cutAgain  = 2
 	cutSpread = 20 * millisecond
 	cutYoung  = second // a comment comes each second: by then what had to be told has been
@@ -158,7 +159,7 @@
 func (c *Calls) Ended(now int64, how End) int64 {
 	spoke := c.heard
 	c.heard = false
-	if how == Cut && now-c.called < cutYoung && c.cuts < cutAgain {
+	if how == Cut && c.listed && now-c.called < cutYoung && c.cuts < cutAgain {
 		c.cuts++
 		return c.draw(cutSpread)
 	}
