Rooms and cold budgets go by measured sizes where weights do not tell them

The wire says that units are then always 1; the caches send six to eight answers at once. control.room divides what is in hand by Units (2 to 4 in hand for one), control.fits multiplies by it. Lines at fault: inHand's units += m.Units and capacity := m.Units in fits.

Now size: what each cache carried in time at its best over the window, or what is asked for lately up to roomMost times that; sure, for cold budgets: the mean that each of its tier carries. Weights that follow the load are not sizes either.

--- a/control/control.go
+++ b/control/control.go
@@ -106,7 +106,10 @@
 		if t.product = r.products[t.Product]; t.product == nil {
 			return Decision{Verdict: Abort}
 		}
-		t.arrived, t.entry = now, r.note(now, t)
+		if t.arrived, t.entry = now, r.note(now, t); !t.Repeat {
+			r.asked.work = fade(r.asked.work, now-r.asked.last, sharingSpan) + r.sendingTime(t)
+			r.asked.last = now
+		}
 	}
 	switch {
 	case t.done:
@@ -131,12 +134,13 @@
 		return r.callOff(t)
 	case t.out > 0:
 		return Decision{}
-	case (o.Result != Cancelled && o.Result != Broken) || get(r.set, "dispatches.together", false) || !r.repeatable(now, t):
+	case o.Result != Cancelled && o.Result != Broken || get(r.set, "dispatches.together", false) ||
+		!r.repeatable(now, t):
 		return r.next(now, t)
 	case now+2*holdStep >= t.HardStop:
 		return r.giveUp(now, t)
 	}
-	return Decision{} // what gives it up goes another way than the next would: two were out where only one may be
+	return Decision{} // what gives it up goes another way than the next would: two were out where one may be
 }
 
 // Wait says how long to wait before asking Where again; 0 is until an outcome.
@@ -203,7 +207,7 @@
 	load, kind := r.load(now, cache), t.kind(now)
 	limit := r.rooms[kind]
 	if kind > 0 {
-		_, kinds, units := inHand(now, r.caches)
+		_, kinds, units := r.inHand(now, r.caches)
 		load = kinds[kind] * r.sharing() / units
 	}
 	best := r.most(func(p *product) float64 { return p.payoff / p.sending })
@@ -240,8 +244,8 @@
 // load is what a cache has in hand for its size, as seen from here. In a thin slice one dispatch tells little
 // (it seemed to fill a cache): it is drawn to the location's mean, as if one more had been seen at that.
 func (r *Router) load(now int64, m *member) float64 {
-	own, _, size := inHand(now, []*member{m})
-	out, _, units := inHand(now, r.caches)
+	own, _, size := r.inHand(now, []*member{m})
+	out, _, units := r.inHand(now, r.caches)
 	return (own + out*r.sharing()/units) / (size/r.sharing() + 1)
 }
 
@@ -255,9 +259,9 @@
 
 // inHand is what is out at some caches and may be in time, in all and by kind, and their size. What is late
 // does not count: in thin slices a few dispatches stuck at silent members took the room of all.
-func inHand(now int64, members []*member) (out float64, kinds [3]float64, units float64) {
+func (r *Router) inHand(now int64, members []*member) (out float64, kinds [3]float64, units float64) {
 	for _, m := range members {
-		units += m.Units
+		units += r.size(now, m)
 		for _, d := range m.out {
 			if now < d.lateFrom {
 				out, kinds[d.kind] = out+1, kinds[d.kind]+1
@@ -267,6 +271,51 @@
 	return out, kinds, max(units, 0.01)
 }
 
+// size is how many answers a cache can send at once at a client's full pace. Where weights do not tell it, it
+// is what each cache carried in time at the best, scaled to all who send there, or what is asked for now, up
+// to some times that; a young router goes by what is asked for alone. A weight of one for all was taken for
+// caches of one answer at a time, and shut the rooms on half of the traffic.
+func (r *Router) size(now int64, m *member) float64 {
+	if r.told() {
+		return m.Units
+	}
+	best, asked := max(1, r.carried[0].best), r.each(now, r.asked, sharingSpan, r.sharing(), r.caches)
+	if now >= r.started+rateWindow {
+		asked = min(asked, roomMost*best)
+	}
+	return max(best, asked)
+}
+
+// sure is what a member bears for sure when warm. What is measured is the mean of its tier as it goes, not
+// the best: that is chance in a thin slice, and sums up over all.
+func (r *Router) sure(now int64, m *member) float64 {
+	switch {
+	case r.told():
+		return m.Units
+	case m.Location == r.home:
+		return max(1, r.each(now, r.carried[0], rateWindow, r.sharing(), r.caches))
+	}
+	return max(1, r.each(now, r.carried[1], rateWindow, r.sharers(m), r.parents))
+}
+
+// told tells whether weights are sizes.
+func (r *Router) told() bool {
+	return !slices.Contains([]string{"off", "live"}, get(r.set, "units", "nominal"))
+}
+
+// carry counts what members of a tier carried in time, and keeps the best that each had over the window.
+func (r *Router) carry(now int64, c *carried, work, sharers float64, members []*member) {
+	c.work, c.last = fade(c.work, now-c.last, rateWindow)+work, now
+	if now >= r.started+rateWindow {
+		c.best = max(c.best, r.each(now, *c, rateWindow, sharers, members))
+	}
+}
+
+// each is the part of one member in what a tier carries, in answers sent at once.
+func (r *Router) each(now int64, c carried, span int64, sharers float64, members []*member) float64 {
+	return r.rateOver(now, c.work, c.last, span) * sharers / float64(max(1, len(members)))
+}
+
 // afford draws a further dispatch from what first ones have put aside, by payoff. Without this bound a jam
 // feeds on itself. It hurts where one cache of few fails and more could be saved elsewhere.
 func (r *Router) afford(t *Retrieval) bool {
@@ -443,7 +492,7 @@
 	}
 	out := Dispatch{Cache: cache.ID, Within: t.HardStop - now, Reach: t.unwrittenMost() - now}
 	for _, before := range t.dispatches {
-		if t.product.effect == "stamped" && before.mayHaveRun() { // its repeats are dropped for so long, late links or not
+		if t.product.effect == "stamped" && before.mayHaveRun() { // repeats are dropped so long, late links or not
 			out.Reach = min(out.Reach, before.sent+t.product.window-now)
 		}
 	}
@@ -536,8 +585,12 @@
 
 // rate turns a decayed count into requests a second; a young router has counted for less than the window.
 func (r *Router) rate(now int64, count float64, counted int64) float64 {
-	span := float64(max(min(now-r.started, rateWindow), second)) / 1e9
-	return fade(count, now-counted, rateWindow) / span
+	return r.rateOver(now, count, counted, rateWindow)
+}
+
+func (r *Router) rateOver(now int64, count float64, counted, over int64) float64 {
+	span := float64(max(min(now-r.started, over), second)) / 1e9
+	return fade(count, now-counted, over) / span
 }
 
 func fade(x float64, since, over int64) float64 { return x * math.Exp(-float64(since)/float64(over)) }
@@ -697,6 +750,12 @@
 	if kind == hits {
 		good[1], bad[1] = 0, 0 // likely a hit: it tells nothing of the source
 	}
+	if work := cmp.Or(own, p.sending); o.Result == Good && inTime {
+		r.carry(now, &r.carried[0], work, r.sharing(), r.caches)
+		if kind > hits && o.Note != 1 && d.source != r.origin {
+			r.carry(now, &r.carried[1], work, r.sharers(d.source), r.parents)
+		}
+	}
 	switch {
 	case o.Result == Good && inTime:
 		r.rooms[kind] = min(r.rooms[kind]+roomUp[r.tight[kind]], roomMost)
@@ -832,7 +891,7 @@
 	if m == r.origin || m.coldFrom == 0 || now >= m.coldFrom+span {
 		return true
 	}
-	capacity := m.Units * (share + (1-share)*float64(max(0, now-m.coldFrom))/float64(span))
+	capacity := r.sure(now, m) * (share + (1-share)*float64(max(0, now-m.coldFrom))/float64(span))
 	budget := guardMargin * factor * capacity * float64(window) / 1e9 / r.sharers(m)
 	if amount > budget {
 		return r.saved(now, m, amount, budget/2, window)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -569,7 +569,7 @@
 			if d.Verdict != c.want || d.Verdict == Send && (d.Dispatch.Held || d.Dispatch.Source != first.Source) {
 				t.Errorf("then %+v", d)
 			}
-			if _, kinds, _ := inHand(start, r.caches); c.want == Send && (kinds[fetches] != 1 || kinds[fills] != 0) {
+			if _, kinds, _ := r.inHand(start, r.caches); c.want == Send && (kinds[fetches] != 1 || kinds[fills] != 0) {
 				t.Errorf("in hand by kind: %v", kinds)
 			}
 		})
--- /dev/null
+++ b/control/size_test.go
@@ -0,0 +1,90 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+)
+
+// played keeps so many retrievals in hand at once for some seconds, each served in time after its sending time of 0.2 s, and
+// counts what was asked and what was turned away in the last second.
+func played(r *Router, from, span int64, atOnce int) (asked, refused int) {
+	type open struct {
+		ret  *Retrieval
+		ends int64
+	}
+	var hand []open
+	for now, n := from, 0; now < from+span; now += second / 100 {
+		for len(hand) > 0 && hand[0].ends <= now {
+			r.After(now, hand[0].ret, Outcome{Result: Good, Spent: second / 4, Sending: 0.2, Note: 1, Closed: true})
+			hand = hand[1:]
+		}
+		for len(hand) < atOnce {
+			n++
+			ret := ask("harmless", fmt.Sprint(n%40))
+			ret.HardStop = now + 5*second
+			d := r.Where(now, ret)
+			if now >= from+span-second {
+				asked++
+			}
+			if d.Verdict != Send {
+				r.Departed(now, ret) // what waits is turned away as well: there is no end of clients
+				if now >= from+span-second {
+					refused++
+				}
+				break
+			}
+			hand = append(hand, open{ret, now + second/4})
+		}
+	}
+	return asked, refused
+}
+
+// Where weights tell no size, rooms follow what the caches carry: a weight of one for all was taken for a cache that
+// sends one answer at a time, and half of the traffic of a whole deployment was turned away.
+func TestSizesThatWeightsDoNotTell(t *testing.T) {
+	for _, c := range []struct {
+		units string
+		told  float64
+	}{{"off", 1}, {"live", 0.2}, {"nominal", 12}, {"rough", 12}} {
+		t.Run(c.units, func(t *testing.T) {
+			r := newRouter(t, Settings{"units": c.units, "location.routers": []int64{0, 1, 1}})
+			var lines []Listing
+			for _, line := range fleet {
+				line.Units = c.told
+				lines = append(lines, line)
+			}
+			r.Listed(start, lines, true)
+			asked, refused := played(r, start, 4*second, 24) // twelve at once at each of two caches, that bear it
+			if refused > 0 || asked < 24 {
+				t.Errorf("of %d asked in the fourth second %d refused", asked, refused)
+			}
+			asked, refused = played(r, start+20*second, 4*second, 24)
+			if refused > 0 || asked < 24 {
+				t.Errorf("later, of %d asked in a second %d refused", asked, refused)
+			}
+		})
+	}
+}
+
+// What is measured is no more than what was carried: where answers stop, in time or at all, rooms stay bounded.
+func TestSizesAreNoMoreThanWasCarried(t *testing.T) {
+	r := newRouter(t, Settings{"units": "off", "location.routers": []int64{0, 1, 1}})
+	var lines []Listing
+	for _, line := range fleet {
+		line.Units = 1
+		lines = append(lines, line)
+	}
+	r.Listed(start, lines, true)
+	played(r, start, 20*second, 8)
+	now := start + 21*second
+	sent := 0
+	for n := range 1000 {
+		ret := ask("harmless", fmt.Sprint(n%40))
+		if d := r.Where(now, ret); d.Verdict == Send {
+			sent++
+		}
+	}
+	if most := int(2 * roomMost * roomMost * 4); sent > most || sent < 8 { // four carried by each of two
+		t.Errorf("%d sent at once to caches that were seen to carry 8, %d at most were wanted", sent, most)
+	}
+}
--- a/control/types.go
+++ b/control/types.go
@@ -179,6 +179,12 @@
 
 func (l *lately) add(now int64) { l.count, l.last = l.at(now)+1, now }
 
+// carried is the sending time of what came in time lately, fading, and the best that a member had of it.
+type carried struct {
+	work, best float64
+	last       int64
+}
+
 // progress is what the module keeps of a retrieval.
 type progress struct {
 	product    *product
@@ -217,5 +223,7 @@
 	mute, denials   lately // answers that went missing; fills that a source denied
 	tight           [3]bool
 	rooms           [3]float64 // in hand that comes in time, for the caches' size, by kind
+	carried         [2]carried // by caches of the location, by parents
+	asked           carried    // what caches would have carried, had they served all
 	spare           float64    // further dispatches put aside
 }
