Rooms go by class: writes apart, small answers beyond, none shut out; hopeless answers show no jam

Line: best := r.most(...). - large and small were refused alike, though a small answer is in time in a jam in which a large one is not. - answers that take longer than their due time at full pace took 8% off everybody's room. Line: t.denied() in afford. Excluded: filling from the cache that was an object's home before (it held 13% of what it was asked for; trial reverted), attempts never sent (2,770 on join: bursts of bad clients).

--- a/control/control.go
+++ b/control/control.go
@@ -50,8 +50,12 @@
 	roomMost     = 4.          // in hand for the caches' size
 	roomLeast    = 0.3
 	roomDown     = 0.08 // part lost by each late one
-	roomCheap    = 0.7  // part of the room for what earns least for its bytes
-	adviceShare  = 0.2  // of the due time after which a dismissed client is to come back, at least
+	roomCheap    = 0.7  // least part of the room for what earns less for its bytes, and for repeats
+	roomStands   = 2.   // most part for what stands more of a jam
+	roomShut     = 1.5  // part for a class that was let in less than shutShare of what others were
+	shutShare    = 0.7
+	seenFirst    = 10. // answers that a class's first means, drawn from its due time, count for
+	adviceShare  = 0.2 // of the due time after which a dismissed client is to come back, at least
 	sharingSpan  = 2 * second
 	sharingLeast = 20.  // dispatches in hand beside those answered, over the span, that tell of the sharers
 	muteFrom     = 1.5  // answers gone missing lately from which a second dispatch is sent to what is overdue
@@ -95,7 +99,8 @@
 			window: at(set, "product.window", i, none), payoff: at(set, "product.payoff", i, 1.),
 			dueStretch: at(set, "product.dueStretch", i, 0.), scope: at(set, "product.scope", i, "cell"),
 			effect: at(set, "product.effect", i, "one-shot"), neverKept: at(set, "product.neverKept", i, false),
-			sending: float64(due) / 1e9, answer: float64(due) / 1e9, seen: 10}
+			sending: max(float64(due)/1e9, 1e-3), answer: float64(due) / 1e9, seen: seenFirst}
+		r.classes = append(r.classes, r.products[name])
 	}
 	return r, nil
 }
@@ -106,6 +111,7 @@
 		if t.product = r.products[t.Product]; t.product == nil {
 			return Decision{Verdict: Abort}
 		}
+		t.product.asked.add(now, r.sendingTime(t))
 		if t.arrived, t.entry = now, r.note(now, t); !t.Repeat {
 			r.asked.work = fade(r.asked.work, now-r.asked.last, sharingSpan) + r.sendingTime(t)
 			r.asked.last = now
@@ -206,19 +212,48 @@
 func (r *Router) room(now int64, t *Retrieval, cache *member) bool {
 	load, kind := r.load(now, cache), t.kind(now)
 	limit := r.rooms[kind]
-	if kind > 0 {
+	switch {
+	case kind == fills && (t.product.neverKept || t.Write):
+		limit = r.rooms[hits] // runs at the origin, and takes next to nothing of the links for fills
+	case kind > 0:
 		_, kinds, units := r.inHand(now, r.caches)
 		load = kinds[kind] * r.sharing() / units
 	}
-	best := r.most(func(p *product) float64 { return p.payoff / p.sending })
-	for _, cheap := range []bool{t.Repeat, t.product.payoff/r.sendingTime(t) < best/2} {
-		if cheap {
-			limit *= roomCheap
+	if t.Repeat {
+		limit *= roomCheap
+	}
+	return load < limit*r.part(now, t)
+}
+
+// part is the part of a room that is open to a retrieval, by its class. Kept free of it is what classes worth
+// twice as much for their sending time ask for, twice over. A class whose answers stand more of a jam than
+// others' may go beyond the room, as it comes and goes fast; so may one that was let in far less than others:
+// else the best alone could fill the room, and one class was hardly served.
+func (r *Router) part(now int64, t *Retrieval) float64 {
+	p, least := t.product, math.Inf(1)
+	var asked, taken, better float64
+	for _, q := range r.classes {
+		work := q.asked.at(now)
+		if asked, taken = asked+work, taken+q.taken.at(now); q.payoff/q.sending > 2*p.payoff/r.sendingTime(t) {
+			better += work
+		}
+		if q.seen > seenFirst {
+			least = min(least, q.stands())
 		}
 	}
-	return load < limit
+	part := 1 - min(1-roomCheap, 2*better/max(asked, 0.01))
+	if p.stands() > least {
+		part *= min(roomStands, p.stands()/least)
+	}
+	if p.taken.at(now)*asked < shutShare*taken*p.asked.at(now) {
+		part *= roomShut
+	}
+	return part
 }
 
+// stands is how much longer than at full pace an answer of a class may take and still be in time.
+func (p *product) stands() float64 { return p.dueStretch + float64(p.due)/1e9/p.sending }
+
 // mayHold tells whether a retrieval for which there is no room as a fill is to ask its home for what that
 // holds. In a thin slice what is kept is unknown: half of what was taken for fills were hits, and a jam of
 // the sources turned all away. Only where any copy that the cache may serve will do, and nothing was asked
@@ -305,8 +340,7 @@
 
 // carry counts what members of a tier carried in time, and keeps the best that each had over the window.
 func (r *Router) carry(now int64, c *carried, work, sharers float64, members []*member) {
-	c.work, c.last = fade(c.work, now-c.last, rateWindow)+work, now
-	if now >= r.started+rateWindow {
+	if c.add(now, work); now >= r.started+rateWindow {
 		c.best = max(c.best, r.each(now, *c, rateWindow, sharers, members))
 	}
 }
@@ -322,8 +356,9 @@
 	switch n := len(t.dispatches); {
 	case n == 0:
 		r.spare = min(r.spare+furtherShare*t.product.payoff/r.most(payoff), furtherMost)
-	case n < 3 && (t.denied() || slices.Contains([]Result{Missing, Cut, Broken}, t.dispatches[n-1].result)):
-		// no sign of a jam
+	case n < 3 && (t.denied() && r.originStands() ||
+		slices.Contains([]Result{Missing, Cut, Broken}, t.dispatches[n-1].result)):
+		// no sign of a jam; denied, where the origin can fall, is one
 	case r.spare < 1:
 		return false
 	default:
@@ -421,7 +456,9 @@
 // place picks the cache and the fill source by the object's hash.
 func (r *Router) place(now int64, t *Retrieval) (cache, source *member) {
 	ranked, spread := rank(t.entry.key, r.caches), 1
-	if n := float64(len(ranked)); n > 1 && t.entry.count >= hotLeast && !t.product.neverKept && !t.Write {
+	if t.product.neverKept || t.Write {
+		spread = len(ranked) // it has no home
+	} else if n := float64(len(ranked)); n > 1 && t.entry.count >= hotLeast {
 		// A hot object goes to two or three caches, the least busy of them.
 		hot := r.rate(now, t.entry.count, t.entry.counted) * n / (hotShare * r.rate(now, r.total, r.totalAt))
 		spread = max(1, min(1+int(hot), 3, len(ranked)))
@@ -496,7 +533,9 @@
 			out.Reach = min(out.Reach, before.sent+t.product.window-now)
 		}
 	}
-	t.dispatches = append(t.dispatches, d)
+	if t.dispatches = append(t.dispatches, d); len(t.dispatches) == 1 {
+		t.product.taken.add(now, r.sendingTime(t))
+	}
 	t.out++
 	for _, m := range []*member{cache, source} {
 		if m == nil {
@@ -724,7 +763,8 @@
 func (r *Router) judge(now int64, t *Retrieval, d *dispatch, o Outcome) {
 	p, kind, own := t.product, d.kind, cmp.Or(r.sizedTime(t), o.Sending)
 	t.missed = t.missed || o.Result == Missing && kind == fills
-	inTime := o.Spent <= r.dueIn(t, own)
+	// What took under twice its sending time shows no jam, in time or not: it could hardly be.
+	inTime := o.Spent <= max(r.dueIn(t, own), int64(2e9*own))
 	if i := slices.Index(get(r.set, "report.fields", []string(nil)), "inHand"); i >= 0 && i < len(o.Load) {
 		r.theirs = fade(r.theirs, now-r.sharedAt, sharingSpan) + max(o.Load[i]-1, 0)
 		r.ours = fade(r.ours, now-r.sharedAt, sharingSpan) + float64(len(d.cache.out)-1)
--- a/control/types.go
+++ b/control/types.go
@@ -108,6 +108,7 @@
 	neverKept          bool
 	sending, answer    float64 // mean sending and answer time, seconds
 	seen               float64
+	asked, taken       carried // what came of it, and what was sent on
 }
 
 type member struct {
@@ -179,12 +180,16 @@
 
 func (l *lately) add(now int64) { l.count, l.last = l.at(now)+1, now }
 
-// carried is the sending time of what came in time lately, fading, and the best that a member had of it.
+// carried is sending time lately, fading: of what came in time, or was asked for; and the best that a member had.
 type carried struct {
 	work, best float64
 	last       int64
 }
 
+func (c *carried) at(now int64) float64 { return fade(c.work, now-c.last, rateWindow) }
+
+func (c *carried) add(now int64, work float64) { c.work, c.last = c.at(now)+work, now }
+
 // progress is what the module keeps of a retrieval.
 type progress struct {
 	product    *product
@@ -210,6 +215,7 @@
 	started         int64
 	home            string
 	products        map[string]*product
+	classes         []*product // in the settings' order
 	members         map[uint32]*member
 	caches, parents []*member // ready, of the own location; ready, anywhere
 	origin          *member
