Clients that say nothing are laid to rest beyond the pace of accepts, usual ones wait for none of them

Line: the one bucket in Admission.Wait, whoever comes. Now one that has said nothing by its turn is parked beyond the pace, at 8,000 a second and core, and woken when it speaks. Tests: 500 silent ones before one that asks, in simulated time, and 200 over real connections; both fail with the turn taken by all.

--- a/front/front.go
+++ b/front/front.go
@@ -174,25 +174,28 @@
 }
 
 // take takes a connection in once there is room and the pace lets it; until then it and those behind it wait in the
-// listener's backlog. It tells whether to go on.
+// listener's backlog, but for those that say nothing, which rest. It tells whether to go on.
 func (f *Front) take(ctx context.Context, conn net.Conn) bool {
+	turn, wait := idle.Waits, int64(0)
 	for {
-		wait := time.Duration(f.admit.Wait(time.Now().UnixNano(), f.limits.Crowded()))
-		if wait == 0 {
+		silent := f.parks() && !pending(conn)
+		if turn, wait = f.admit.Turn(time.Now().UnixNano(), f.limits.Crowded(), silent); turn != idle.Waits {
 			break
 		}
-		if !pause(ctx, wait) {
+		if !pause(ctx, time.Duration(wait)) {
 			conn.Close()
 			return false
 		}
 	}
 	for {
-		c, v := f.add(conn)
-		switch v {
-		case idle.Taken:
-			f.run(ctx, c)
+		id, generation, v := f.open(conn)
+		switch {
+		case v == idle.Taken && turn == idle.Rests && f.layToRest(conn, id, generation):
 			return true
-		case idle.PerClient, idle.PerNetwork:
+		case v == idle.Taken:
+			f.run(ctx, f.enter(conn, id, generation, false))
+			return true
+		case v == idle.PerClient || v == idle.PerNetwork:
 			conn.Close() // a bound of the operator's own, for the one who comes
 			f.refused(v)
 			return true
@@ -222,20 +225,15 @@
 	})
 }
 
-// add takes a connection in.
-func (f *Front) add(conn net.Conn) (*client, idle.Verdict) {
+// open gives a connection a place in the table, if there is one.
+func (f *Front) open(conn net.Conn) (id idle.ID, generation uint32, v idle.Verdict) {
 	client, network := f.keep.find(conn.RemoteAddr())
 	f.places.Lock()
-	id, v := f.table.Open(time.Now().UnixNano(), client, network)
-	generation := uint32(0)
-	if v == idle.Taken {
+	defer f.places.Unlock()
+	if id, v = f.table.Open(time.Now().UnixNano(), client, network); v == idle.Taken {
 		generation = f.table.Generation(id)
 	}
-	f.places.Unlock()
-	if v != idle.Taken {
-		return nil, v
-	}
-	return f.enter(conn, id, generation, false), v
+	return id, generation, v
 }
 
 // enter makes a client of a connection that has a place in the table.
@@ -248,10 +246,7 @@
 		place: id, generation: generation, answered: answered, state: idle.Fresh}
 	f.clients[c.id] = c
 	f.places.Lock()
-	for len(f.at) <= int(id) {
-		f.at = append(f.at, place{fd: -1})
-	}
-	f.at[id] = place{client: c, fd: -1}
+	f.put(id, place{client: c, fd: -1})
 	c.state = f.table.State(id)
 	f.places.Unlock()
 	if f.crowded && f.all() < f.limits.Connections/2 {
--- a/front/idle/pace.go
+++ b/front/idle/pace.go
@@ -5,6 +5,7 @@
 const (
 	closesPerCore  = 4000. // a second
 	acceptsPerCore = 1200. // with their first requests
+	restsPerCore   = 8000. // of those that say nothing: a descriptor laid to rest is all they cost
 	wakesPerCore   = 2000.
 	crowdedShare   = 0.25 // of the rate while clients wait for answers
 	leastCores     = 0.05
@@ -50,24 +51,50 @@
 
 // Admission paces how connections are taken in, so that a wave of them after a restart, or of clients whose router has
 // died, leaves active retrievals their due times. What is not taken in yet waits in the listener's backlog.
-type Admission struct{ pace Pace }
+type Admission struct{ pace, rest Pace }
 
 // NewAdmission makes an admission for so many cores.
 func NewAdmission(cores float64) *Admission {
-	return &Admission{Pace{Rate: acceptsPerCore * part(cores)}}
+	return &Admission{pace: Pace{Rate: acceptsPerCore * part(cores)}, rest: Pace{Rate: restsPerCore * part(cores)}}
+}
+
+// Turn is what becomes of the connection that is next.
+type Turn int
+
+// The turns.
+const (
+	Waits Turn = iota
+	TakenIn
+	Rests
+)
+
+// Turn says what becomes of the connection that is next: taken in at the pace, or laid to rest beyond it if it says nothing,
+// until it does. Usual clients waited for seconds in the backlog behind hundreds that said nothing: each took a turn.
+func (a *Admission) Turn(now int64, crowded, silent bool) (turn Turn, wait int64) {
+	if wait = a.pace.Take(now, crowded); wait == 0 {
+		return TakenIn, 0
+	}
+	if silent {
+		rest := a.rest.Take(now, false)
+		if rest == 0 {
+			return Rests, 0
+		}
+		wait = min(wait, rest)
+	}
+	return Waits, wait
 }
 
 // NewEnding paces how parked connections are taken out that their clients have ended.
 func NewEnding(cores float64) *Admission {
-	return &Admission{Pace{Rate: closesPerCore * part(cores)}}
+	return &Admission{pace: Pace{Rate: closesPerCore * part(cores)}}
 }
 
 // NewWaking paces how parked connections are woken.
 func NewWaking(cores float64) *Admission {
-	return &Admission{Pace{Rate: wakesPerCore * part(cores)}}
+	return &Admission{pace: Pace{Rate: wakesPerCore * part(cores)}}
 }
 
-// Wait tells how long to wait before the next connection is taken in; 0 takes one now.
+// Wait tells how long to wait before the next one's turn; 0 takes it now.
 func (a *Admission) Wait(now int64, crowded bool) int64 { return a.pace.Take(now, crowded) }
 
 const (
--- a/front/idle/table_test.go
+++ b/front/idle/table_test.go
@@ -226,6 +226,48 @@
 	}
 }
 
+// Hundreds that say nothing come before one that asks, on a quarter of a core and while others wait for answers: its turn
+// is there within half a second, and what they cost stays paced.
+func TestTheSilentTakeNoTurns(t *testing.T) {
+	for _, crowded := range []bool{false, true} {
+		a, taken, rested := NewAdmission(0.25), 0, 0
+		now := int64(0)
+		for n := 0; n < 500; {
+			switch turn, wait := a.Turn(now, crowded, true); turn {
+			case TakenIn:
+				taken, n = taken+1, n+1
+			case Rests:
+				rested, n = rested+1, n+1
+			default:
+				now += wait
+			}
+		}
+		for {
+			turn, wait := a.Turn(now, crowded, false)
+			if turn == TakenIn {
+				break
+			}
+			if turn == Rests {
+				t.Fatal("one that asks was laid to rest")
+			}
+			now += wait
+		}
+		if now > second/2 {
+			t.Errorf("crowded %v: the one that asks has its turn after %.2f s", crowded, float64(now)/second)
+		}
+		rate := acceptsPerCore * 0.25
+		if crowded {
+			rate *= crowdedShare
+		}
+		if most := rate*float64(now)/second + 3; float64(taken) > most {
+			t.Errorf("crowded %v: %d taken in %.2f s, %.0f may be", crowded, taken, float64(now)/second, most)
+		}
+		if most := restsPerCore*0.25*float64(now)/second + 8; float64(rested) > most || rested < 300 {
+			t.Errorf("crowded %v: %d laid to rest, 300 to %.0f wanted", crowded, rested, most)
+		}
+	}
+}
+
 func BenchmarkMove(b *testing.B) {
 	table := New(Limits{Connections: 100000, Cores: 1}, []Keep{{Idle: 1e9, Spread: 1e6}}, 1)
 	var ids []ID
--- a/front/rest.go
+++ b/front/rest.go
@@ -43,6 +43,15 @@
 type place struct {
 	client *client
 	fd     int32 // -1: not parked
+	fresh  bool  // parked before it asked for anything
+}
+
+// put says what a place of the table stands for; places are locked.
+func (f *Front) put(id idle.ID, p place) {
+	for len(f.at) <= int(id) {
+		f.at = append(f.at, place{fd: -1})
+	}
+	f.at[id] = p
 }
 
 // errPark ends the reading from a connection that is idle.
@@ -150,6 +159,19 @@
 	return true
 }
 
+// layToRest parks a connection that has said nothing yet. It tells whether that is done.
+func (f *Front) layToRest(conn net.Conn, id idle.ID, generation uint32) bool {
+	f.places.Lock()
+	defer f.places.Unlock()
+	fd, err := f.lot.Park(conn, uint64(uint32(id))<<32|uint64(generation))
+	if err != nil {
+		f.noParking(err)
+		return false
+	}
+	f.put(id, place{fd: int32(fd), fresh: true})
+	return true
+}
+
 // forget takes a client out.
 func (f *Front) forget(c *client) {
 	f.mu.Lock()
@@ -437,7 +459,8 @@
 		f.places.Unlock()
 		return
 	}
-	f.at[id].fd = -1
+	answered := !f.at[id].fresh
+	f.at[id] = place{fd: -1}
 	f.table.Move(time.Now().UnixNano(), id, idle.Reading)
 	f.places.Unlock()
 	conn, err := f.lot.Resume(fd)
@@ -447,7 +470,7 @@
 		f.table.Gone(id)
 		return
 	}
-	c := f.enter(conn, id, generation, true)
+	c := f.enter(conn, id, generation, answered)
 	c.reading = true
 	f.run(ctx, c)
 }
--- a/front/rest_test.go
+++ b/front/rest_test.go
@@ -96,6 +96,33 @@
 	}
 }
 
+// Those that say nothing rest without a turn, so that the usual client that comes behind them is answered, and what they send
+// later is taken like anybody's.
+func TestTheSilentAreLaidToRest(t *testing.T) {
+	limits := Limits{Connections: 1000, Open: 32, Bytes: 1 << 20, Cores: 0.05} // sixty turns a second
+	f, _ := serving(t, limits)
+	if f.lot == nil {
+		t.Fatal("nothing rests on this system")
+	}
+	var silent []net.Conn
+	for range 200 {
+		silent = append(silent, dial(t, f))
+	}
+	usual := dial(t, f)
+	usual.Write(message(1, "health", 1, "\x00"))
+	if _, err := io.ReadFull(usual, make([]byte, 20)); err != nil {
+		t.Fatalf("the usual client: %v", err)
+	}
+	if c := f.Counts(); c.Parked < 100 || c.All != 201 {
+		t.Errorf("%+v: those that say nothing were taken in, turn by turn", c)
+	}
+	late := silent[len(silent)-1]
+	late.Write(message(1, "health", 1, "\x00"))
+	if _, err := io.ReadFull(late, make([]byte, 20)); err != nil {
+		t.Errorf("one that asks after it was laid to rest: %v", err)
+	}
+}
+
 func TestParkedConnectionsEnd(t *testing.T) {
 	f, _ := serving(t, keeping(1000, time.Hour))
 	parks(t, f)
