--- a/control/size_test.go
+++ b/control/size_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 )
 
@@ -88,3 +89,61 @@
 		t.Errorf("%d sent at once to caches that were seen to carry 8, %d at most were wanted", sent, most)
 	}
 }
+
+// Where weights tell no sizes, all routers together keep to what a cold parent bears, with few processes as with many, with
+// uneven traffic and chance in what each has measured, also where it is much smaller than the others.
+func TestColdBudgetsOfMeasuredSizes(t *testing.T) {
+	const mean, parents, load, capacity, small = 0.5, 2, 0.7, 20., 12.
+	window := 2 * second
+	for _, routers := range []int{6, 24, 350} {
+		for _, from := range []int64{0, 8 * second} { // all the time, and all in one moment after a while
+			type sending struct{ at int64 }
+			var all []sending
+			for n := range routers {
+				r, err := New(start-20*second, uint64(n), site(Settings{"routers": int64(routers), "units": "off"}), func(string) {})
+				if err != nil {
+					t.Fatal(err)
+				}
+				lines := make([]Listing, len(fleet))
+				for i, line := range fleet {
+					lines[i] = line
+					lines[i].Units = 1
+				}
+				lines[2].Started = start
+				r.Listed(start, lines, true)
+				uneven := 0.5 // one in ten has ten times what the others have
+				if n%10 == 0 {
+					uneven = 5
+				}
+				measured := load * capacity * parents / float64(routers) * uneven / 0.95 * (0.5 + r.chance())
+				m := r.members[3]
+				r.saved(start, m, mean, 0, window)
+				for now := start + from + int64(n)*second/20/int64(routers); now < start+16*second; now += second / 20 {
+					r.carried[1].work, r.carried[1].last = measured*float64(rateWindow)/1e9, now
+					if r.fits(now, m, mean) {
+						all = append(all, sending{now})
+						m.spent = append(m.spent, charge{now, mean})
+						m.savings = max(0, m.savings-mean)
+					}
+				}
+			}
+			if len(all) < 4 {
+				t.Errorf("%d routers: %d dispatches in 16 s", routers, len(all))
+			}
+			for _, first := range all {
+				sent := 0.
+				for _, s := range all {
+					if s.at >= first.at && s.at < first.at+window {
+						sent++
+					}
+				}
+				share := 0.1 + 0.9*float64(first.at-start)/float64(20*second)
+				bears := 2 * small * share * 2 / mean
+				if most := bears + 2*math.Sqrt(bears) + 2; sent > most {
+					t.Fatalf("%d routers: %.0f dispatches within a window %.1f s after the start, it bears %.1f", routers, sent,
+						float64(first.at-start)/1e9, most)
+				}
+			}
+		}
+	}
+}
--- a/front/endings_test.go
+++ b/front/endings_test.go
@@ -239,3 +239,39 @@
 	}
 	return 0
 }
+
+// Clients that ask and close while they wait in the backlog, or at rest, have gone: what they asked for is not sent on when
+// their turn comes. Those ahead of them, sixty a second, hold the turns.
+func TestGoneWhileItWaited(t *testing.T) {
+	f, events := serving(t, Limits{Connections: 1000, Open: 32, Bytes: 1 << 20, Cores: 0.05})
+	var ahead []net.Conn
+	for range 40 {
+		conn := dial(t, f)
+		conn.Write(message(1, "health", 1, "\x00"))
+		ahead = append(ahead, conn)
+	}
+	for range 5 {
+		gone := dial(t, f)
+		gone.Write(message(1, "call", 5, "\x00"))
+		gone.Close()
+	}
+	stays := dial(t, f)
+	stays.Write(message(1, "call", 6, "\x00"))
+	for _, conn := range ahead {
+		if _, err := io.ReadFull(conn, make([]byte, 20)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if e := next(t, events); e != "Requested" { // that of the one that stays, who came last
+		t.Errorf("%s", e)
+	}
+	select {
+	case e := <-events:
+		t.Errorf("%s of a client that had gone while it waited", e)
+	case <-time.After(300 * time.Millisecond):
+	}
+	f.Answer(router.Answer{Client: 41, Seq: 6, Body: []byte("whole")})
+	if _, err := io.ReadFull(stays, make([]byte, 20)); err != nil {
+		t.Error(err)
+	}
+}
--- a/front/front.go
+++ b/front/front.go
@@ -33,6 +33,9 @@
 	idleMost  = 10 * time.Second // with no request open; clients close what is idle after 4 s
 	acceptGap = 10 * time.Millisecond
 
+	// Nothing is sent on 0.1 s after its client closed. One that has waited to be read for half of that and is closed has gone.
+	goneAfter = 50 * time.Millisecond
+
 	lingerMost  = 2 * time.Second        // for a client to read its last answers
 	shutMost    = 200 * time.Millisecond // for a client that is owed nothing to see the end
 	lingerGap   = time.Millisecond
@@ -138,9 +141,13 @@
 	inner, end := context.WithCancel(ctx)
 	defer end() // also where the listener ends by itself
 	f.group.Go(func() { f.janitor(inner) })
-	failing := false
+	failing, since := false, time.Now()
 	for {
+		waited := f.backlog()
 		conn, err := f.listener.Accept()
+		if !waited {
+			since = time.Now() // nobody waited then: whoever does now came later
+		}
 		if err != nil {
 			if ctx.Err() != nil {
 				return nil
@@ -167,15 +174,15 @@
 			failing = false
 			f.log("connections are accepted again")
 		}
-		if !f.take(inner, conn) {
+		if !f.take(inner, conn, since) {
 			return nil
 		}
 	}
 }
 
 // take takes a connection in once there is room and the pace lets it; until then it and those behind it wait in the
-// listener's backlog, but for those that say nothing, which rest. It tells whether to go on.
-func (f *Front) take(ctx context.Context, conn net.Conn) bool {
+// listener's backlog, since then at most, but for those that say nothing, which rest. It tells whether to go on.
+func (f *Front) take(ctx context.Context, conn net.Conn, since time.Time) bool {
 	turn, wait := idle.Waits, int64(0)
 	for {
 		silent := f.parks() && !pending(conn)
@@ -188,6 +195,10 @@
 		}
 	}
 	for {
+		if time.Since(since) > goneAfter && hungUp(conn) {
+			conn.Close() // its client closed while it waited: what it asked for was sent for nobody, seconds later
+			return true
+		}
 		id, generation, v := f.open(conn)
 		switch {
 		case v == idle.Taken && turn == idle.Rests && f.layToRest(conn, id, generation):
@@ -312,6 +323,16 @@
 	return true
 }
 
+// hungUp tells whether a connection's client has closed, though what it sent before is not read yet.
+func hungUp(conn net.Conn) (up bool) {
+	if c, ok := conn.(syscall.Conn); ok {
+		if raw, err := c.SyscallConn(); err == nil {
+			raw.Control(func(fd uintptr) { up = park.HungUp(int(fd)) })
+		}
+	}
+	return up
+}
+
 // pending tells whether something has come on a connection that is not read yet.
 func pending(conn net.Conn) bool {
 	n := 0
--- a/front/park/park_linux.go
+++ b/front/park/park_linux.go
@@ -184,5 +184,12 @@
 	return err == nil && n > 0
 }
 
+// HungUp tells whether the other side of a descriptor has closed, be it behind bytes that are not read yet.
+func HungUp(fd int) bool {
+	polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(polled, 0)
+	return err == nil && n > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
 // Close closes a parked connection.
 func Close(fd int) { unix.Close(fd) }
--- a/front/park/park_other.go
+++ b/front/park/park_other.go
@@ -47,3 +47,6 @@
 
 // Close is not to be had.
 func Close(int) {}
+
+// HungUp is told of by the system's own calls only.
+func HungUp(int) bool { return false }
--- a/front/rest.go
+++ b/front/rest.go
@@ -131,7 +131,7 @@
 	}
 	f.places.Unlock()
 	for _, key := range keys {
-		f.resume(ctx, key)
+		f.resume(ctx, key, time.Now())
 	}
 }
 
@@ -370,9 +370,17 @@
 	most, pace := idle.WakeMost(f.limits.Bytes), idle.NewWaking(f.limits.Cores)
 	endings := idle.NewEnding(f.limits.Cores)
 	var keys, asking, ended []uint64
+	var returned time.Time
 	for {
 		var err error
-		if keys, err = f.lot.Wait(ctx, keys); err != nil {
+		before, called := returned, time.Now()
+		keys, err = f.lot.Wait(ctx, keys)
+		returned = time.Now()
+		since := returned // from when something may have been there to be read
+		if returned.Sub(called) < time.Millisecond && !before.IsZero() {
+			since = before
+		}
+		if err != nil {
 			if ctx.Err() == nil {
 				f.noParking(err)
 				f.wakeAll(ctx)
@@ -390,14 +398,14 @@
 				ended = append(ended, key)
 			}
 		}
-		if !f.wake(ctx, asking, pace, most) || !f.wake(ctx, ended, endings, most) {
+		if !f.wake(ctx, asking, pace, most, since) || !f.wake(ctx, ended, endings, most, since) {
 			return
 		}
 	}
 }
 
 // wake sees to parked connections at a pace, unless the context ends.
-func (f *Front) wake(ctx context.Context, keys []uint64, pace *idle.Admission, most int) bool {
+func (f *Front) wake(ctx context.Context, keys []uint64, pace *idle.Admission, most int, since time.Time) bool {
 	for _, key := range keys {
 		for {
 			wait := time.Duration(pace.Wait(time.Now().UnixNano(), f.limits.Crowded()))
@@ -413,7 +421,7 @@
 				return false
 			}
 		}
-		f.resume(ctx, key)
+		f.resume(ctx, key, since)
 		f.waiting.Add(-1)
 	}
 	return true
@@ -443,8 +451,9 @@
 	return len(f.clients)
 }
 
-// resume makes a connection of a parked one, or closes it if it has ended.
-func (f *Front) resume(ctx context.Context, key uint64) {
+// resume makes a connection of a parked one, or closes it if it has ended, be it behind what it sent and what has waited to be
+// read since then.
+func (f *Front) resume(ctx context.Context, key uint64, since time.Time) {
 	id, generation := unkey(key)
 	f.places.Lock()
 	if int(id) >= len(f.at) || !f.holds(id, generation) || f.at[id].fd < 0 {
@@ -452,7 +461,7 @@
 		return // it has made room, or its time was up
 	}
 	fd := int(f.at[id].fd)
-	if _, ended := park.Came(fd); ended {
+	if _, ended := park.Came(fd); ended || time.Since(since) > goneAfter && park.HungUp(fd) {
 		park.Close(fd)
 		f.at[id] = place{fd: -1}
 		f.table.Gone(id)
