--- a/front/front.go
+++ b/front/front.go
@@ -186,7 +186,8 @@
 	turn, wait := idle.Waits, int64(0)
 	for {
 		silent := f.parks() && !pending(conn)
-		if turn, wait = f.admit.Turn(time.Now().UnixNano(), f.limits.Crowded(), silent); turn != idle.Waits {
+		now := time.Now()
+		if turn, wait = f.admit.Turn(now.UnixNano(), int64(now.Sub(since)), f.limits.Crowded(), silent); turn != idle.Waits {
 			break
 		}
 		if !pause(ctx, time.Duration(wait)) {
--- a/front/idle/pace.go
+++ b/front/idle/pace.go
@@ -4,10 +4,12 @@
 // whole core, and active retrievals with it: 17 times their p99 (docs/idle.md).
 const (
 	closesPerCore  = 4000. // a second
-	acceptsPerCore = 1200. // with their first requests
+	acceptsPerCore = 2400. // with their first requests
 	restsPerCore   = 8000. // of those that say nothing: a descriptor laid to rest is all they cost
 	wakesPerCore   = 2000.
 	crowdedShare   = 0.25 // of the rate while clients wait for answers
+	hurryAfter     = 0.2 * second
+	hurryShare     = 2. // of the rate once somebody may have waited so long to be taken in
 	leastCores     = 0.05
 	burst          = 0.002 // seconds of the rate that may come at once
 	second         = 1e9
@@ -17,7 +19,7 @@
 type Pace struct {
 	Rate   float64
 	tokens float64
-	at     int64
+	last   int64
 	begun  bool
 }
 
@@ -31,17 +33,21 @@
 
 // Take takes one if there is one, or tells for how long to wait.
 func (p *Pace) Take(now int64, crowded bool) (wait int64) {
-	rate := p.Rate
 	if crowded {
-		rate *= crowdedShare
+		return p.at(now, p.Rate*crowdedShare)
 	}
+	return p.at(now, p.Rate)
+}
+
+// at takes one at a rate.
+func (p *Pace) at(now int64, rate float64) (wait int64) {
 	most := max(1, rate*burst)
 	if !p.begun {
 		p.tokens, p.begun = most, true
 	} else {
-		p.tokens = min(most, p.tokens+rate*float64(max(0, now-p.at))/second)
+		p.tokens = min(most, p.tokens+rate*float64(max(0, now-p.last))/second)
 	}
-	p.at = now
+	p.last = now
 	if p.tokens >= 1 {
 		p.tokens--
 		return 0
@@ -70,8 +76,15 @@
 
 // Turn says what becomes of the connection that is next: taken in at the pace, or laid to rest beyond it if it says nothing,
 // until it does. Usual clients waited for seconds in the backlog behind hundreds that said nothing: each took a turn.
-func (a *Admission) Turn(now int64, crowded, silent bool) (turn Turn, wait int64) {
-	if wait = a.pace.Take(now, crowded); wait == 0 {
+// Those that ask are paced to leave active clients alone, but once somebody may have waited for 0.2 s they are taken in
+// faster, whoever waits for answers: a few ms more for those cost less than seconds in the backlog.
+func (a *Admission) Turn(now, waited int64, crowded, silent bool) (turn Turn, wait int64) {
+	if float64(waited) > hurryAfter {
+		wait = a.pace.at(now, a.pace.Rate*hurryShare)
+	} else {
+		wait = a.pace.Take(now, crowded)
+	}
+	if wait == 0 {
 		return TakenIn, 0
 	}
 	if silent {
