--- a/front/endings_test.go
+++ b/front/endings_test.go
@@ -240,8 +240,7 @@
 	return 0
 }
 
-// Clients that ask and close while they wait in the backlog, or at rest, have gone: what they asked for is not sent on when
-// their turn comes. Those ahead of them, sixty a second, hold the turns.
+// Clients that ask and close while they wait in the backlog have gone: what they asked for is not sent on when their turn comes. Those ahead of them, sixty a second, hold the turns.
 func TestGoneWhileItWaited(t *testing.T) {
 	f, events := serving(t, Limits{Connections: 1000, Open: 32, Bytes: 1 << 20, Cores: 0.05})
 	var ahead []net.Conn
--- a/front/front.go
+++ b/front/front.go
@@ -33,9 +33,6 @@
 	idleMost  = 10 * time.Second // with no request open; clients close what is idle after 4 s
 	acceptGap = 10 * time.Millisecond
 
-	// Nothing is sent on 0.1 s after its client closed. One that has waited to be read for half of that and is closed has gone.
-	goneAfter = 50 * time.Millisecond
-
 	lingerMost  = 2 * time.Second        // for a client to read its last answers
 	shutMost    = 200 * time.Millisecond // for a client that is owed nothing to see the end
 	lingerGap   = time.Millisecond
@@ -196,7 +193,7 @@
 		}
 	}
 	for {
-		if time.Since(since) > goneAfter && hungUp(conn) {
+		if idle.Gone(int64(time.Since(since)), hungUp(conn)) {
 			conn.Close() // its client closed while it waited: what it asked for was sent for nobody, seconds later
 			return true
 		}
--- a/front/idle/pace.go
+++ b/front/idle/pace.go
@@ -97,6 +97,12 @@
 	return Waits, wait
 }
 
+// goneAfter: nothing is sent on 0.1 s after its client closed, and half of that may pass before it is read.
+const goneAfter = 0.05 * second
+
+// Gone tells whether one that may have waited so long to be read, and whose client has closed, is not to be read any more.
+func Gone(waited int64, closed bool) bool { return closed && float64(waited) > goneAfter }
+
 // NewEnding paces how parked connections are taken out that their clients have ended.
 func NewEnding(cores float64) *Admission {
 	return &Admission{pace: Pace{Rate: closesPerCore * part(cores)}}
--- a/front/idle/table_test.go
+++ b/front/idle/table_test.go
@@ -285,6 +285,18 @@
 	}
 }
 
+func TestWhoHasGone(t *testing.T) {
+	for _, c := range []struct {
+		waited int64
+		closed bool
+		want   bool
+	}{{0, true, false}, {second / 50, true, false}, {second / 10, true, true}, {second, false, false}, {-second, true, false}} {
+		if got := Gone(c.waited, c.closed); got != c.want {
+			t.Errorf("waited %d, closed %v: %v", c.waited, c.closed, got)
+		}
+	}
+}
+
 func BenchmarkMove(b *testing.B) {
 	table := New(Limits{Connections: 100000, Cores: 1}, []Keep{{Idle: 1e9, Spread: 1e6}}, 1)
 	var ids []ID
--- a/front/rest.go
+++ b/front/rest.go
@@ -461,7 +461,7 @@
 		return // it has made room, or its time was up
 	}
 	fd := int(f.at[id].fd)
-	if _, ended := park.Came(fd); ended || time.Since(since) > goneAfter && park.HungUp(fd) {
+	if _, ended := park.Came(fd); ended || idle.Gone(int64(time.Since(since)), park.HungUp(fd)) {
 		park.Close(fd)
 		f.at[id] = place{fd: -1}
 		f.table.Gone(id)
