--- a/review/standin/burst.go
+++ b/review/standin/burst.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +36,10 @@
 	c.conn.SetReadDeadline(sentAt.Add(limit + later + slack))
 	got, err := c.answer()
 	took := time.Since(sentAt)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && took < slack {
+		log.line("%s: %d crossed the end of its connection", name, seq) // it would be sent again on a new one
+		return err
+	}
 	if err != nil {
 		counts.lost.Add(1)
 		log.line("%s: %d of limit %v is lost: after %v %v", name, seq, limit, took, err)
--- a/review/standin/cacheserver.go
+++ b/review/standin/cacheserver.go
@@ -73,12 +73,12 @@
 			id, fields := words[1], words[2]
 			object := field(fields, "path")
 			issued, detail := s.copyFor(object, field(fields, "within"))
-			s.log.line("%s: fetch %s %s: %s, issued %d", s.name, id, fields, detail, issued.UnixMilli())
+			s.log.line("%s: fetch %s %s: %s, issued %d", s.name, id, fields, detail, stamp(issued))
 			go func() {
 				time.Sleep(s.delay(field(words[2], "queue"), object))
 				fields := fmt.Sprintf("entity=%016x,issued=%d,detail=%s,use=inflight:1",
-					issued.UnixMilli(), issued.UnixMilli(), detail)
-				write(id, "served", fields, strconv.FormatInt(issued.UnixMilli(), 10))
+					stamp(issued), stamp(issued), detail)
+				write(id, "served", fields, strconv.FormatInt(stamp(issued), 10))
 			}()
 		}
 	}
--- a/review/standin/purges.go
+++ b/review/standin/purges.go
@@ -49,8 +49,8 @@
 	}
 	var purgedAt time.Time
 	purge := func() {
-		purgedAt = time.UnixMilli(time.Now().UnixMilli())
-		w.journal.publish(`{"pos":%d,"expire":{"set":17,"stamp":` + strconv.FormatInt(purgedAt.UnixMilli(), 10) + `}}`)
+		purgedAt = fromStamp(stamp(time.Now()))
+		w.journal.publish(`{"pos":%d,"expire":{"set":17,"stamp":` + strconv.FormatInt(stamp(purgedAt), 10) + `}}`)
 		for _, s := range w.servers() {
 			time.AfterFunc(dropAfter, func() { s.drop(purgedAt) })
 		}
--- a/review/standin/traffic.go
+++ b/review/standin/traffic.go
@@ -73,7 +73,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.served = append(t.served, servedCopy{t.sentAt[got.seq], time.UnixMilli(ms)})
+	t.served = append(t.served, servedCopy{t.sentAt[got.seq], fromStamp(ms)})
 }
 
 // servedOld returns the requests that were sent after an instant and served with a copy given out before another one.
