Requests that clients write slowly are awaited for their own time, then rejected

Cause: downstream.requestReadTimeout gave every request 2 s from its first byte to its last. After that the reader ended silently (read.go readRequests, connection.go end): the connection stayed open for what was in flight, what came was thrown away, and the sequence number that had been read was not answered.

The reducer never saw the request, so decisions are excluded; evictions take a full table, and there were 5 connections. The log told nothing: it has partial_requests_rejected now, with the cause.

Change: incomingFrame (frame.go) waits for the rest of a request until its `limit`, which stands at its start, or the longest deadline of the settings; then it rejects the request and discards the rest, and the connection goes on. A client without a response yet still has 2 s for the next byte, and gets the rejection before the end. The same cause is fixed for large requests without memory, for evicted connections and for connections over an operator's limit.

Why it works: reading ends without an answer only where no sequence number has come, and never while something else is in flight on the connection.

--- a/internal/downstream/accept_test.go
+++ b/internal/downstream/accept_test.go
@@ -116,6 +116,16 @@
 	}
 }
 
+// On a connection beyond a limit, a request that is written slowly is rejected as soon as its sequence number has come.
+// The rejection must not wait for the rest, which may come only after the connection has been closed.
+func TestPartialRequestBeyondOperatorLimitIsRejected(t *testing.T) {
+	server, _ := startServer(t, loopbackPolicy(idle.Policy{MaxPerClient: 1}))
+	checkHealth(t, dial(t, server))
+	conn := dial(t, server)
+	send(t, conn, largeCall(6)[:1000])
+	expectResponse(t, conn, rejectionOf(6))
+}
+
 func TestNetworkAndClientLimits(t *testing.T) {
 	server, _ := startServer(t, loopbackPolicy(idle.Policy{MaxConnections: 3, MaxPerClient: 2}))
 	from := func(ip string) net.Conn {
--- a/internal/downstream/connection.go
+++ b/internal/downstream/connection.go
@@ -280,6 +280,13 @@
 	return c.quiescent()
 }
 
+// hasResponded reports whether the client has had a response.
+func (c *connection) hasResponded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.responded
+}
+
 func (c *connection) hasViolated() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/downstream/logevents.go
+++ b/internal/downstream/logevents.go
@@ -113,6 +113,22 @@
 	}
 }
 
+// PartialRequestsRejected is emitted, at most every 10 s, when a request is rejected although it has not been received
+// completely.
+type PartialRequestsRejected struct {
+	Cause string `log:"cause"` // why the rest of the last one was not awaited
+	Total int    `log:"total"` // requests so rejected since the process started, for any cause
+}
+
+// Kind implements logevent.Event.
+func (PartialRequestsRejected) Kind() logevent.Kind {
+	return logevent.Kind{
+		Name:    "partial_requests_rejected",
+		Level:   logevent.Warn,
+		Message: "requests are rejected before their clients have written them completely",
+	}
+}
+
 // LogEvents returns one event of each type that this package emits, with zero fields.
 func LogEvents() []logevent.Event {
 	return []logevent.Event{
@@ -124,5 +140,6 @@
 		ResponseMemoryRecovered{},
 		SuspendDisabled{},
 		ConnectionsRejected{},
+		PartialRequestsRejected{},
 	}
 }
--- a/internal/downstream/memory.go
+++ b/internal/downstream/memory.go
@@ -1,9 +1,8 @@
 package downstream
 
 import (
-	"bufio"
 	"context"
-	"io"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +17,9 @@
 // detected during the wait.
 const requestMemoryTimeout = 50 * time.Millisecond
 
+// errNoRequestMemory is returned for a large request for which no memory becomes free in time.
+var errNoRequestMemory = errors.New("downstream: no memory for a large request")
+
 // memoryLimits limits two totals: the memory of large requests that are being read, and that of responses that wait to
 // be written.
 type memoryLimits struct {
@@ -63,30 +65,3 @@
 
 func (m *memoryLimits) responseQueued(size int64)  { m.queuedResponses.Add(size) }
 func (m *memoryLimits) responseWritten(size int64) { m.queuedResponses.Add(-size) }
-
-// rejectLarge rejects a large request for which no memory is available, and discards the rest of its frame. head is
-// the start of the frame, from which the request is identified, and size the size of the whole frame in bytes. It
-// returns an error if nothing more can be read.
-func (c *connection) rejectLarge(in *bufio.Reader, head []byte, size int) error {
-	message, err := thrift.Parse(head)
-	if err != nil {
-		return err
-	}
-	if isRequest(message) {
-		switch c.addRequest(message.Seq) {
-		case requestAdmitted:
-			c.respond(rejection(message.Seq))
-		case requestExcess:
-			c.send(rejection(message.Seq))
-		case requestDuplicate:
-			c.sendException(message, thrift.BadSequence, duplicateSequenceText)
-			return nil
-		case requestWhileDraining:
-			c.send(rejection(message.Seq))
-			return errDraining
-		}
-	}
-	setReadDeadline(c.conn, time.Now().Add(requestReadTimeout))
-	_, err = io.CopyN(io.Discard, in, int64(size-len(head)))
-	return err
-}
--- a/internal/downstream/read.go
+++ b/internal/downstream/read.go
@@ -16,9 +16,6 @@
 )
 
 const (
-	// requestReadTimeout is how long a request may take, from its first byte to its last, to arrive.
-	requestReadTimeout = 2 * time.Second
-
 	// maxSmallFrameBytes is the largest size of a frame that is read without reserving memory in memoryLimits.
 	maxSmallFrameBytes = 4096
 
@@ -50,7 +47,6 @@
 		}
 		arrivedAt := c.arrivals.earliest // the last read returned the first byte of this frame
 		c.setReading(true)
-		setReadDeadline(c.conn, time.Now().Add(requestReadTimeout))
 		if err := c.checkReadable(in); err != nil {
 			return err
 		}
@@ -140,7 +136,7 @@
 // readRequest reads a frame and handles its message. arrivedAt is the earliest time, in ns, at which its first
 // byte can have arrived.
 func (c *connection) readRequest(ctx context.Context, in *bufio.Reader, arrivedAt int64) error {
-	frame, err := c.readFrame(ctx, in)
+	frame, err := c.newIncomingFrame(in, arrivedAt).receive(ctx)
 	if err != nil || frame == nil {
 		return err
 	}
@@ -154,30 +150,6 @@
 	return nil
 }
 
-// readFrame reads a frame. Memory for a large frame is acquired only once the start of the frame has been
-// received, so that a client that merely announces large frames takes no memory. If no memory is available,
-// readFrame rejects the request and returns nil.
-func (c *connection) readFrame(ctx context.Context, in *bufio.Reader) ([]byte, error) {
-	size, err := thrift.ReadFrameSize(in)
-	if err != nil {
-		return nil, err
-	}
-	frame := make([]byte, min(size, maxSmallFrameBytes))
-	if _, err := io.ReadFull(in, frame); err != nil || size <= maxSmallFrameBytes {
-		return frame, err
-	}
-	if !c.server.memory.acquireRequest(ctx, size) {
-		if ctx.Err() != nil {
-			return nil, ctx.Err()
-		}
-		return nil, c.rejectLarge(in, frame, size)
-	}
-	defer c.server.memory.releaseRequest(size)
-	frame = append(make([]byte, 0, size), frame...)[:size]
-	_, err = io.ReadFull(in, frame[maxSmallFrameBytes:])
-	return frame, err
-}
-
 // handleMessage handles a message. It returns false if the message is too late because the connection is
 // draining. A message that violates the protocol is answered with an exception, and nothing more is read from
 // the client.
@@ -258,12 +230,15 @@
 // response. rejectBuffered returns the error that ends the reading.
 func (c *connection) rejectBuffered(in *bufio.Reader) error {
 	for hasBufferedFrame(in) {
-		m, err := readHeader(in)
+		message, rest, err := readHeader(in)
 		if err != nil {
 			break
 		}
-		if isRequest(m) {
-			c.send(rejection(m.Seq))
+		if isRequest(message) {
+			c.send(rejection(message.Seq))
+		}
+		if _, err := in.Discard(rest); err != nil {
+			break
 		}
 	}
 	return errDraining
@@ -279,21 +254,19 @@
 	return err == nil && int64(binary.BigEndian.Uint32(length)) <= int64(in.Buffered()-frameLengthBytes)
 }
 
-// readHeader reads a whole frame, but parses and returns only the start of its message: the name, type and sequence
-// number.
-func readHeader(in *bufio.Reader) (thrift.Message, error) {
+// readHeader reads the start of a frame and parses the header of its message: the name, type and sequence number. It
+// also returns the number of bytes of the frame that it has not read.
+func readHeader(in *bufio.Reader) (message thrift.Message, rest int, err error) {
 	size, err := thrift.ReadFrameSize(in)
 	if err != nil {
-		return thrift.Message{}, err
+		return thrift.Message{}, 0, err
 	}
 	header := make([]byte, min(size, maxHeaderBytes))
 	if _, err := io.ReadFull(in, header); err != nil {
-		return thrift.Message{}, err
-	}
-	if _, err := in.Discard(size - len(header)); err != nil {
-		return thrift.Message{}, err
+		return thrift.Message{}, 0, err
 	}
-	return thrift.Parse(header)
+	message, err = thrift.Parse(header)
+	return message, size - len(header), err
 }
 
 // isRequest reports whether a message is a request to be served or rejected, as opposed to a cancel or a
--- a/internal/downstream/reject.go
+++ b/internal/downstream/reject.go
@@ -11,27 +11,42 @@
 	"tealpath/internal/protocol/thrift"
 )
 
-// rejectionLogInterval is the minimum time between two ConnectionsRejected events.
+// rejectionLogInterval is the minimum time between two log events that report the same kind of rejections.
 const rejectionLogInterval = 10 * time.Second
 
-// rejectionLog holds the number of connections that were rejected because of limits set by the operator, and the time
-// of the last ConnectionsRejected event. It is guarded by Server.mu.
+// rejectionLog counts rejections of one kind, which are reported together.
 type rejectionLog struct {
 	total     int
 	emittedAt time.Time
 }
 
-// logRejection counts a connection that is rejected because of a limit set by the operator. It emits an event
-// unless the last one was emitted less than rejectionLogInterval ago.
+// add counts a rejection. It reports whether a log event is due, which is at most every rejectionLogInterval.
+func (l *rejectionLog) add() bool {
+	l.total++
+	if time.Since(l.emittedAt) < rejectionLogInterval {
+		return false
+	}
+	l.emittedAt = time.Now()
+	return true
+}
+
+// logRejection counts and reports a connection that is rejected because of a limit set by the operator.
 func (s *Server) logRejection(verdict idle.Verdict) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.rejections.total++
-	if time.Since(s.rejections.emittedAt) < rejectionLogInterval {
-		return
+	if s.rejections.add() {
+		s.emit(ConnectionsRejected{Limit: limitOfVerdict(verdict), Total: s.rejections.total})
+	}
+}
+
+// logPartialRejection counts and reports a request that is rejected before it has been received completely. cause is
+// why its rest was not awaited.
+func (s *Server) logPartialRejection(cause error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.partialRejections.add() {
+		s.emit(PartialRequestsRejected{Cause: cause.Error(), Total: s.partialRejections.total})
 	}
-	s.emit(ConnectionsRejected{Limit: limitOfVerdict(verdict), Total: s.rejections.total})
-	s.rejections.emittedAt = time.Now()
 }
 
 // limitOfVerdict returns the value of ConnectionsRejected.Limit for a connection that got the verdict.
@@ -68,14 +83,25 @@
 	setReadDeadline(conn, deadline)
 	setWriteDeadline(conn, deadline)
 	in := bufio.NewReaderSize(neterr.Reader{From: conn}, maxHeaderBytes)
-	for m, err := readHeader(in); err == nil; m, err = readHeader(in) {
-		if !isRequest(m) {
-			continue
+	for {
+		message, rest, err := readHeader(in)
+		if err != nil {
+			break
 		}
-		response := net.Buffers(thrift.EncodeResponse(rejection(m.Seq)))
-		if err := writeAll(conn, &response); err != nil {
+		// The rejection does not wait for the rest of the request, which may come slowly.
+		if isRequest(message) && !writeRejection(conn, message.Seq) {
 			return
 		}
+		if _, err := in.Discard(rest); err != nil {
+			break
+		}
 	}
 	halfCloseAndDiscard(conn, closeNotifyTimeout)
 }
+
+// writeRejection rejects the request with a sequence number on a connection without a writer. It reports whether that
+// succeeded.
+func writeRejection(conn net.Conn, seq int32) bool {
+	response := net.Buffers(thrift.EncodeResponse(rejection(seq)))
+	return writeAll(conn, &response) == nil
+}
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"tealpath/internal/clock"
 	"tealpath/internal/downstream/idle"
@@ -17,6 +18,7 @@
 	MaxConnections           int
 	MaxRequestsPerConnection int                 // maximum number of requests in flight on one connection
 	MaxBytes                 int64               // bytes for large requests and, separately, for unwritten responses
+	MaxRequestTime           time.Duration       // longest time for which a client waits for a response; 0: 2 s
 	Cores                    float64             // processor cores available to the process; 0: one
 	Seed                     uint64              // seed of the random jitter of idle timeouts
 	Saturated                func() bool         // whether events are waiting for the router's goroutine; nil: never
@@ -25,9 +27,11 @@
 	SystemCalls              *poller.SystemCalls // system calls on suspended connections; nil: poller.Kernel
 }
 
-// withDefaults returns a copy of the configuration in which Policies, SystemCalls, Saturated and Clock have their
-// default values where they were nil.
+// withDefaults returns a copy of the configuration in which fields that are nil or 0 have their default values.
 func (c Config) withDefaults() Config {
+	if c.MaxRequestTime <= 0 {
+		c.MaxRequestTime = requestStallTimeout
+	}
 	if c.Policies == nil {
 		c.Policies = defaultPolicies()
 	}
@@ -67,7 +71,9 @@
 	lastID      router.ClientID                 // guarded by mu; ID that was assigned last; 0: none
 	// atLimit is true from ConnectionLimitReached to ConnectionLimitCleared. It is guarded by mu.
 	atLimit    bool
-	rejections rejectionLog // guarded by mu
+	rejections rejectionLog // guarded by mu; connections rejected because of a limit set by the operator
+
+	partialRejections rejectionLog // guarded by mu; requests rejected before they were received completely
 }
 
 // New returns a server for a listener. The server passes the events of clients to post, which may block, and
--- a/internal/downstream/suspend_test.go
+++ b/internal/downstream/suspend_test.go
@@ -87,7 +87,7 @@
 	checkHealth(t, kept)
 }
 
-// After a suspended connection has received part of a request, the rest must arrive within requestReadTimeout. If the
+// After a suspended connection has received part of a request, the next byte must arrive within requestStallTimeout. If the
 // idle timeout applied, clients could hold connections with incomplete requests.
 func TestPartialRequestOnSuspendedConnectionTimesOut(t *testing.T) {
 	server, _ := startServer(t, configWithIdleTimeout(100, time.Hour))
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -181,6 +181,12 @@
 	return err == nil
 }
 
+// Deadline returns the time by which the response to a request has to be written, ns. arrivedAt is the time of its
+// arrival, ns.
+func (request *Request) Deadline(arrivedAt int64) int64 {
+	return arrivedAt + request.Timeout - responseTransit
+}
+
 // policyRequest returns the part of a request that the policy needs. arrivedAt is the time of its arrival in ns.
 func (request *Request) policyRequest(arrivedAt int64) control.Request {
 	return control.Request{
@@ -189,7 +195,7 @@
 		Group:       request.Group,
 		Part:        request.Part.Number,
 		SizeKB:      request.SizeKB,
-		Deadline:    arrivedAt + request.Timeout - responseTransit,
+		Deadline:    request.Deadline(arrivedAt),
 		ClientRetry: request.IsRetry,
 	}
 }
--- a/internal/server/start.go
+++ b/internal/server/start.go
@@ -75,6 +75,7 @@
 		Policies:                 policies,
 		MaxRequestsPerConnection: maxOpenRequestsPerClient,
 		MaxBytes:                 int64(s.memoryBytes(responseMemoryShare)),
+		MaxRequestTime:           s.longestDeadline(),
 		Cores:                    s.config.Cores,
 		Seed:                     s.config.Seed,
 		Clock:                    s.clock,
