An event in pieces is waited for: the stall timeout no longer ends each call inside it

Cause: startup.CallSchedule.StallTimeout, a third of the shortest grace (83 ms), ended the call inside each event that paused for longer (discovery call.go, Read). The next call got the same event and ended in the same way, without end.

Evidence: the service's record has 54 calls in 9 s, all after event 1, each followed by event 2 written whole to a connection that had ended. No event was ever complete, so decoder, positions and the list filter are excluded.

Change: on an open watch an event may pause for 1.7 s, as the service may between events: by the platform's page it counts as told 4 s after a stop, but at once when the router asks again.

Why it works: a repeated call waits longer than the one before, up to 1.7 s, so a service that does write each event is heard; one that stands still is asked again within the grace as before.

TestStallTimeoutFollowsTheDrainGrace passes the time of the call now, with the same values wanted.

--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -24,6 +24,7 @@
 	conn    net.Conn
 	stream  *sse.Stream // nil until the response headers have been received
 	hasData bool        // at least one event or comment has been received on this connection
+	pause   int64       // longest wait for a byte inside the event or comment that is being received, ns
 }
 
 // call connects to the service and processes events and comments until the connection ends. It returns how the call
@@ -81,6 +82,8 @@
 		if err != nil {
 			return c.streamResult(err), err
 		}
+		pause := c.pause
+		c.pause = 0
 		c.dataReceived()
 		if event.Comment {
 			if err := c.watcher.processComment(); err != nil {
@@ -88,6 +91,7 @@
 			}
 			continue
 		}
+		c.watcher.schedule.EventReceived(pause)
 		err = c.watcher.processEvent(event)
 		if errors.Is(err, errListUnconfirmed) {
 			// The event was complete and valid, so the result is not Truncated and the next call is delayed. Without
@@ -125,21 +129,32 @@
 // inside an event or before the first event or comment.
 func (c *call) streamResult(err error) startup.CallResult {
 	result := c.result(err)
+	insideEvent := c.stream.InsideEvent()
+	if insideEvent && result != startup.Disconnected {
+		c.watcher.schedule.EventStalled()
+	}
 	endedBeforeData := !c.hasData && result == startup.Disconnected
-	if c.stream.InsideEvent() || endedBeforeData {
+	if insideEvent || endedBeforeData {
 		return startup.Truncated
 	}
 	return result
 }
 
 // Read implements io.Reader for the stream. Between events, its timeout allows for the time between two comments of
-// the service. Inside an event the timeout is much shorter, because the service counts the router as notified of an
-// event as soon as it has sent it, while the router can act on the event only when it is complete.
+// the service. Inside an event startup.CallSchedule sets another one, and is told of the pauses.
 func (c *call) Read(p []byte) (int, error) {
-	deadline := c.watcher.readDeadline()
-	if c.stream != nil && c.stream.InsideEvent() {
-		deadline = time.Now().Add(time.Duration(c.watcher.schedule.StallTimeout()))
+	if c.stream == nil || !c.stream.InsideEvent() {
+		return c.readUntil(c.watcher.readDeadline(), p)
 	}
+	begunAt := c.watcher.clock.Now()
+	timeout := time.Duration(c.watcher.schedule.StallTimeout(begunAt))
+	count, err := c.readUntil(time.Now().Add(timeout), p)
+	c.pause = max(c.pause, c.watcher.clock.Now()-begunAt)
+	return count, err
+}
+
+// readUntil reads from the connection with a deadline.
+func (c *call) readUntil(deadline time.Time, p []byte) (int, error) {
 	if err := c.conn.SetReadDeadline(deadline); err != nil {
 		return 0, err
 	}
--- a/internal/lifecycle/startup/schedule.go
+++ b/internal/lifecycle/startup/schedule.go
@@ -53,9 +53,10 @@
 	// not call a service that truncates all its answers more often.
 	maxTruncatedRetries  = 2
 	truncatedRetrySpread = 20 * millisecond
-	// maxTruncatedAge is the age of a call from which a truncated answer is no longer requested again almost at once:
-	// by then the service has sent all earlier changes, since it sends a comment each second.
-	maxTruncatedAge = second
+	// maxAnswerAge is the age of a call from which what the service sends no longer counts as the answer to the call: by
+	// then it has sent all earlier changes, since it sends a comment each second. Only a truncated answer is requested
+	// again almost at once.
+	maxAnswerAge = second
 
 	// A call that this machine could not make is retried soon, since it put no load on the service. If many
 	// routers of one machine wait for the same descriptors, their calls are spread as after a disconnect.
@@ -72,11 +73,6 @@
 	initialFirstByteTimeout = 1700 * millisecond
 	maxFirstByteTimeout     = 7 * second
 	firstByteTimeoutGrowth  = 4
-
-	// Within an event, the timeout of the next byte is the shortest grace period for acting on a watch event, divided
-	// by stallGraceDivisor.
-	stallGraceDivisor = 3
-	maxStallTimeout   = silenceTimeout
 )
 
 // scheduleStream is the second half of the seed of a schedule's random numbers. It makes them independent of those
@@ -92,12 +88,12 @@
 	hasList  bool
 	hasData  bool  // a complete event or comment was received since the last call ended
 	calledAt int64 // when the last call was made
-	grace    int64 // shortest time within which the router has to act on a watch event; 0: unknown
+	stalls   eventStalls
 
 	firstByteTimeout int64
 	lastDelay        int64 // last delay of the backoff; 0: the backoff starts again
 	localErrorDelay  int64 // last delay after a call that this machine could not make; 0: there was none
-	truncations      int   // number of consecutive answers that were truncated before maxTruncatedAge
+	truncations      int   // number of consecutive answers that were truncated
 
 	answerDeadline int64 // notification deadline by which a call has to be answered; 0: none applies
 	retryAdvanced  bool  // a retry was moved to an earlier time to meet answerDeadline
@@ -131,31 +127,45 @@
 func (s *CallSchedule) AddressChanged(now int64) int64 {
 	s.answerDeadline, s.retryAdvanced = now+deadlineAfterAddressChange, false
 	s.firstByteTimeout, s.hasData = initialFirstByteTimeout, false
+	s.stalls.reset()
 	return s.draw(s.spread(reconnectRate, maxAddressChangeSpread))
 }
 
 // ListReceived records that the router has an endpoint list, so that notification deadlines apply to its calls.
 func (s *CallSchedule) ListReceived() { s.hasList = true }
 
-// CallStarted records when a call is made. Only for a young call does CallEnded let a truncated answer be requested
-// again almost at once.
+// CallStarted records when a call is made. What the service sends on a young call is the answer to it.
 func (s *CallSchedule) CallStarted(now int64) { s.calledAt = now }
 
+// isAnswer reports whether what the service sends now counts as the answer to the call, rather than as news.
+func (s *CallSchedule) isAnswer(now int64) bool { return now-s.calledAt < maxAnswerAge }
+
 // DataReceived records that a complete event or comment was received. It resets the backoff and the timeout of the
 // first byte.
 func (s *CallSchedule) DataReceived() {
 	s.hasData, s.firstByteTimeout, s.lastDelay = true, initialFirstByteTimeout, 0
 }
 
+// EventReceived records that an event was received completely, and the longest pause inside it, ns.
+func (s *CallSchedule) EventReceived(pause int64) { s.stalls.eventReceived(pause) }
+
+// EventStalled records that a call is ended because StallTimeout has passed inside an event.
+func (s *CallSchedule) EventStalled() { s.stalls.stalledCalls++ }
+
 // SetShortestGracePeriod sets the shortest time within which the router has to act on a watch event, ns; 0: unknown.
-func (s *CallSchedule) SetShortestGracePeriod(grace int64) { s.grace = grace }
+func (s *CallSchedule) SetShortestGracePeriod(grace int64) { s.stalls.grace = grace }
 
 // StallTimeout returns how long to wait for the next byte within an event, ns.
-func (s *CallSchedule) StallTimeout() int64 {
-	if s.grace <= 0 {
-		return maxStallTimeout
+//
+// The router counts as notified of the events in the answer to a call from the time of the call on, so an answer that
+// stands still is requested again within the grace period. Of later events it counts as notified only
+// deadlineAfterSilence after the service has fallen silent, so they may pause for as long as the service may be silent
+// between two events.
+func (s *CallSchedule) StallTimeout(now int64) int64 {
+	if s.isAnswer(now) {
+		return s.stalls.answerTimeout()
 	}
-	return min(s.grace/stallGraceDivisor, maxStallTimeout)
+	return maxStallTimeout
 }
 
 // ReadTimeout returns how long to wait for the first byte of an answer or, after the first complete event or comment,
@@ -196,8 +206,7 @@
 // retriesAlmostAtOnce reports whether the next call is made within truncatedRetrySpread because the answer was
 // truncated.
 func (s *CallSchedule) retriesAlmostAtOnce(now int64, result CallResult) bool {
-	isYoung := now-s.calledAt < maxTruncatedAge
-	return result == Truncated && s.hasList && isYoung && s.truncations < maxTruncatedRetries
+	return result == Truncated && s.hasList && s.isAnswer(now) && s.truncations < maxTruncatedRetries
 }
 
 // delayAfterLocalError returns a random delay. Its upper bound doubles with each further call that this machine could
--- a/internal/lifecycle/startup/schedule_test.go
+++ b/internal/lifecycle/startup/schedule_test.go
@@ -246,7 +246,7 @@
 		}
 		schedule.CallStarted(now)
 		schedule.DataReceived()
-		if delay := schedule.CallEnded(now+maxTruncatedAge, Truncated); delay > maxReconnectSpread {
+		if delay := schedule.CallEnded(now+maxAnswerAge, Truncated); delay > maxReconnectSpread {
 			t.Fatalf("a delay of %d ms after an old connection was truncated, want at most %d ms",
 				delay/millisecond, maxReconnectSpread/millisecond)
 		}
@@ -261,13 +261,62 @@
 	} {
 		schedule := NewCallSchedule(1, 1, ReadinessHold{})
 		schedule.SetShortestGracePeriod(test.grace)
-		if got := schedule.StallTimeout(); got != test.want {
+		if got := schedule.StallTimeout(0); got != test.want {
 			t.Errorf("a grace period of %d ms: the stall timeout is %d ns, want %d ns",
 				test.grace/millisecond, got, test.want)
 		}
 	}
 }
 
+// If the service writes an event with pauses longer than the stall timeout, each call ends inside the same event. The
+// timeout must grow from call to call until it is longer than the pauses, or the event would never be received. A pause
+// seen in a complete event must be allowed for in the answer to the next call.
+func TestStallTimeoutGrowsWithThePausesOfTheService(t *testing.T) {
+	for _, grace := range []int64{250 * millisecond, 20 * millisecond} {
+		for _, pause := range []int64{100 * millisecond, 400 * millisecond, 1500 * millisecond} {
+			schedule := NewCallSchedule(1, 1, ReadinessHold{})
+			schedule.SetShortestGracePeriod(grace)
+			calls := 0
+			for ; schedule.StallTimeout(0) < pause && calls < 20; calls++ {
+				schedule.EventStalled()
+			}
+			if calls > 5 {
+				t.Errorf("a pause of %d ms: %d calls stall, want 5 at most", pause/millisecond, calls)
+			}
+			schedule.EventReceived(pause)
+			if got := schedule.StallTimeout(0); got < pause {
+				t.Errorf("a pause of %d ms was seen: the stall timeout is %d ms, want more",
+					pause/millisecond, got/millisecond)
+			}
+			for range 100 {
+				schedule.EventReceived(0)
+			}
+			if got := schedule.StallTimeout(0); got > grace/stallGraceDivisor {
+				t.Errorf("100 events without a pause: the stall timeout is %d ms, want %d ms",
+					got/millisecond, grace/stallGraceDivisor/millisecond)
+			}
+		}
+	}
+}
+
+// Of what comes after the answer to a call the router counts as notified only some time after the service has fallen
+// silent, so an event may pause for longer there. What it has learned of one service says nothing of another.
+func TestStallTimeoutOfNewsAndAfterAddressChange(t *testing.T) {
+	schedule := NewCallSchedule(1, 1, ReadinessHold{})
+	schedule.SetShortestGracePeriod(250 * millisecond)
+	schedule.CallStarted(second)
+	if got := schedule.StallTimeout(second + maxAnswerAge); got != maxStallTimeout {
+		t.Errorf("stall timeout of news: %d ms, want %d ms", got/millisecond, maxStallTimeout/millisecond)
+	}
+	initial := schedule.StallTimeout(second)
+	schedule.EventReceived(second)
+	schedule.EventStalled()
+	schedule.AddressChanged(second)
+	if got := schedule.StallTimeout(second); got != initial {
+		t.Errorf("stall timeout at the new address: %d ms, want %d ms", got/millisecond, initial/millisecond)
+	}
+}
+
 // A call that this machine could not make counts neither as a disconnect nor as a refused call: the deadline and the
 // backoff of the schedule stay as they are.
 func TestLocalErrorsKeepScheduleState(t *testing.T) {
