A request still being written at the end of a shutdown is rejected

Related path of the request that is written slowly: the process exited 3.35 s after SIGTERM at the latest without an answer to a request of which only a part had come. The reducer's answer deadline now ends the wait for it, and it is rejected by its sequence number. TestPartialRequestIsRejectedAtTheEndOfAShutdown, which sets that deadline, cannot be written for the text before, as there was none for such requests.

A client that has been served is also awaited while too little of its request has come to know the number.

--- a/internal/downstream/frame.go
+++ b/internal/downstream/frame.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// requestStallTimeout is how long a client that must not be waited for any longer may go on without sending the next
-	// byte of a request. It is also the time limit of a request if the settings state no deadlines.
+	// requestStallTimeout is how long a client that has had no response yet may go on without sending the next byte of a
+	// request, and how long a client may take for the rest of a rejected one. It is also the time limit of a request if
+	// the settings state no deadlines.
 	requestStallTimeout = 2 * time.Second
 
 	// frameCheckInterval is the maximum time between two checks of whether the rest of a frame is to be awaited.
@@ -103,7 +104,7 @@
 // checkWait returns nil if the rest of the frame is to be awaited, or the reason why not.
 func (f *incomingFrame) checkWait(now time.Time) error {
 	c := f.connection
-	expired := !now.Before(f.expiresAt)
+	expired := !now.Before(f.expiresAt) || c.server.pastAnswerDeadline()
 	stalled := now.Sub(f.progressAt) >= requestStallTimeout
 	switch {
 	case c.hasViolated():
@@ -112,9 +113,7 @@
 		return errDraining
 	case f.isOpenRequest() && expired:
 		return errRequestExpired
-	case f.isOpenRequest() && c.hasResponded():
-		return nil // a client that has been served before is waited for until then
-	case (expired || stalled) && c.isQuiescent():
+	case c.isQuiescent() && (expired || stalled && !c.hasResponded()):
 		return errRequestStalled
 	}
 	return nil
--- a/internal/downstream/frame_test.go
+++ b/internal/downstream/frame_test.go
@@ -173,6 +173,25 @@
 	expectFinalResponse(t, slow, rejectionOf(2))
 }
 
+// A request that is still being written when a shutdown has to end is rejected. The process used to exit without an
+// answer to it.
+func TestPartialRequestIsRejectedAtTheEndOfAShutdown(t *testing.T) {
+	t.Parallel()
+	server, _ := startServer(t, slowConfig())
+	conn := dial(t, server)
+	checkHealth(t, conn)
+	request := timedCall(2, 4*time.Second, 200_000)
+	send(t, conn, request[:len(request)/2])
+	time.Sleep(50 * time.Millisecond)
+	begun := time.Now()
+	server.SetAnswerDeadline(server.now() + int64(300*time.Millisecond))
+	server.CloseIdle()
+	expectResponse(t, conn, rejectionOf(2))
+	if took := time.Since(begun); took < 200*time.Millisecond || took > 300*time.Millisecond+2*frameCheckInterval {
+		t.Errorf("rejected after %v, want after 300ms", took)
+	}
+}
+
 // A partly received request with a sequence number that is in flight must not be rejected when its time is over: the
 // rejection would pass for the response to the request in flight.
 func TestPartialDuplicateIsAProtocolViolation(t *testing.T) {
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -63,6 +63,8 @@
 	serving   atomic.Int64 // number of connections that have goroutines
 	rejecting atomic.Int64 // number of connections without a slot in the table whose requests are being rejected
 
+	answerDeadline atomic.Int64 // see SetAnswerDeadline; 0: none
+
 	draining       atomic.Bool // CloseIdle has closed the listener: no new connection can arrive
 	acceptFinished atomic.Bool // no more connections are accepted: each accepted one has a slot or was rejected
 
@@ -100,6 +102,16 @@
 // SetReady sets whether later health requests are answered as healthy. Before the first call they are not.
 func (s *Server) SetReady(ready bool) { s.ready.Store(ready) }
 
+// SetAnswerDeadline sets the time, in ns, after which no request is awaited any longer, because the process is about to
+// end: a request that is received only partly by then is rejected.
+func (s *Server) SetAnswerDeadline(deadline int64) { s.answerDeadline.Store(deadline) }
+
+// pastAnswerDeadline reports whether the time set with SetAnswerDeadline has come.
+func (s *Server) pastAnswerDeadline() bool {
+	deadline := s.answerDeadline.Load()
+	return deadline > 0 && s.now() >= deadline
+}
+
 // register assigns an ID to a connection, publishes it and puts it into its slot. The connection's fields have
 // to be set before, because other goroutines can access it from then on.
 func (s *Server) register(c *connection) {
--- a/internal/server/drain.go
+++ b/internal/server/drain.go
@@ -47,6 +47,7 @@
 	s.enter(Draining)
 	s.snapshots.writeLast(s.router, now, time.Duration(plan.DiskDeadline()-now))
 	s.downstream.SetReady(false)
+	s.downstream.SetAnswerDeadline(plan.AnswerDeadline())
 	l.handle(now, router.ShutdownStarted{AnswerDeadline: plan.AnswerDeadline()})
 }
 
