--- a/internal/downstream/frame.go
+++ b/internal/downstream/frame.go
@@ -106,6 +106,7 @@
 	c := f.connection
 	expired := !now.Before(f.expiresAt) || c.server.pastAnswerDeadline()
 	stalled := now.Sub(f.progressAt) >= requestStallTimeout
+	mayPause := c.hasResponded() && !f.rejected
 	switch {
 	case c.hasViolated():
 		return errProtocolViolation
@@ -113,7 +114,7 @@
 		return errDraining
 	case f.isOpenRequest() && expired:
 		return errRequestExpired
-	case c.isQuiescent() && (expired || stalled && !c.hasResponded()):
+	case c.isQuiescent() && (expired || stalled && !mayPause):
 		return errRequestStalled
 	}
 	return nil
