A slow answer of the discovery service is awaited beside the repeated call

Cause: the first call was closed after initialFirstByteTimeout, 1.7 s, however much time was left until the notification deadline (discovery call.go, open), and the next one had to wait for its own answer.

Evidence: TestEventIsReceivedBeforeTheNotificationDeadline received the event 5.8 s after the change of address on the text before, with 1 and with 300 routers, headers late or only the events late. A longer timeout alone was excluded: it would lose the retry in time where the first call is never answered, a case of the same test.

A call that is not answered in time is kept beside the next ones, one at most, 7 s in all; the first answer is read and the other call closed. The calls of one address share a context, so SetAddress has no moment between two calls in which it could be lost (suspected, not forced by a test).

Calls are made at the same times as before.

--- a/internal/discovery/backoff.go
+++ b/internal/discovery/backoff.go
@@ -1,19 +1,6 @@
 package discovery
 
-import (
-	"context"
-	"time"
-
-	"tealpath/internal/lifecycle/startup"
-)
-
-// pause returns after delay ns, or at once when ctx ends.
-func pause(ctx context.Context, delay int64) {
-	select {
-	case <-time.After(time.Duration(delay)):
-	case <-ctx.Done():
-	}
-}
+import "tealpath/internal/lifecycle/startup"
 
 // backoff returns the delay, in ns, between a call that ended with result and the next call. It logs Disconnected for
 // the first failed call since the service last sent data, with cause as the reason, and nothing for further ones.
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -20,30 +20,34 @@
 
 // call is one connection to the discovery service, and the watch that is received on it.
 type call struct {
-	watcher *Watcher
-	conn    net.Conn
-	stream  *sse.Stream // nil until the response headers have been received
-	hasData bool        // at least one event or comment has been received on this connection
-	pause   int64       // longest wait for a byte inside the event or comment that is being received, ns
+	watcher  *Watcher
+	conn     net.Conn
+	stream   *sse.Stream // nil until the response headers have been received
+	answered bool        // the answer has begun, and the watcher's goroutine reads it
+	hasData  bool        // at least one event or comment has been received on this connection
+	pause    int64       // longest wait for a byte inside the event or comment that is being received, ns
 }
 
-// call connects to the service and processes events and comments until the connection ends. It returns how the call
-// ended; the error is never nil.
-func (w *Watcher) call(ctx context.Context, address string) (startup.CallResult, error) {
-	dialled, err := w.dial(ctx, "tcp", address)
-	if err != nil {
-		return dialResult(err), err
+// call makes a call of the service after a delay, ns, and processes events and comments until the connection ends. If an
+// earlier call is answered before that, call continues with the earlier one. It returns how the call ended; the error is
+// never nil.
+func (w *Watcher) call(ctx context.Context, address string, delay int64) (startup.CallResult, error) {
+	answered := w.pause(ctx, delay)
+	if ctx.Err() != nil {
+		return startup.Disconnected, ctx.Err()
 	}
-	conn := neterr.Conn{Conn: dialled}
-	defer neterr.Close(conn)
-	stop := context.AfterFunc(ctx, func() { neterr.Close(conn) })
-	defer stop()
-	w.schedule.CallStarted(w.clock.Now())
-	c := &call{watcher: w, conn: conn}
-	if result, err := c.open(address); err != nil {
-		return result, err
+	if answered == nil {
+		opened, result, err := w.dialCall(ctx, address)
+		if err != nil {
+			return result, err
+		}
+		answered, result, err = w.awaitAnswer(ctx, opened)
+		if err != nil {
+			return result, err
+		}
 	}
-	return c.receive()
+	defer answered.close()
+	return answered.call.receive()
 }
 
 // dialResult returns the result of a call that failed to connect: LocalError, Refused or Unreachable.
@@ -57,22 +61,25 @@
 	return startup.Unreachable
 }
 
-// open requests the watch and reads the response headers. If that fails, it returns the result of the call and the
-// error; with a nil error the result has no meaning.
-func (c *call) open(address string) (startup.CallResult, error) {
-	if err := c.conn.SetDeadline(c.watcher.readDeadline()); err != nil {
-		return c.result(err), err
-	}
-	resumeAfter := strconv.FormatInt(c.watcher.position, 10)
-	if err := sse.WriteRequest(c.conn, address, watchPath, resumeAfter); err != nil {
-		return c.result(err), err
+// open requests the watch after the event at position resumeAfter, and waits until the body of the answer begins.
+func (c *call) open(address string, resumeAfter int64) error {
+	if err := sse.WriteRequest(c.conn, address, watchPath, strconv.FormatInt(resumeAfter, 10)); err != nil {
+		return err
 	}
 	stream, err := sse.Open(c)
-	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
-		return startup.Truncated, err // the service ended the connection before the response headers were complete
+	if err != nil {
+		return err
 	}
 	c.stream = stream
-	return c.result(err), err
+	return stream.AwaitData()
+}
+
+// openResult returns the result of a call that failed with err before the body of its answer began.
+func (c *call) openResult(err error) startup.CallResult {
+	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
+		return startup.Truncated
+	}
+	return c.result(err)
 }
 
 // receive processes events and comments until the connection ends or processing one of them returns an error.
@@ -140,10 +147,14 @@
 	return result
 }
 
-// Read implements io.Reader for the stream. Between events, its timeout allows for the time between two comments of
-// the service. Inside an event startup.CallSchedule sets another one, and is told of the pauses.
+// Read implements io.Reader for the stream. Before the answer has begun, the deadline is that of the opening. Between
+// events, the timeout allows for the time between two comments of the service. Inside an event startup.CallSchedule sets
+// another one, and is told of the pauses.
 func (c *call) Read(p []byte) (int, error) {
-	if c.stream == nil || !c.stream.InsideEvent() {
+	if !c.answered {
+		return c.conn.Read(p)
+	}
+	if !c.stream.InsideEvent() {
 		return c.readUntil(c.watcher.readDeadline(), p)
 	}
 	begunAt := c.watcher.clock.Now()
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -44,10 +44,11 @@
 	eventRetries int   // consecutive calls that failed because the event after position was unusable or missing
 	lists        startup.ListFilter
 	snapshotList *snapshotList // list that the service has not confirmed yet; nil: none
+	unanswered   *opening      // earlier call whose answer is still awaited; nil: none
 
-	mu         sync.Mutex
-	address    string             // guarded by mu
-	cancelCall context.CancelFunc // guarded by mu; cancels the current call of the service, or the delay before it
+	mu           sync.Mutex
+	address      string             // guarded by mu
+	leaveAddress context.CancelFunc // guarded by mu; ends the calls of the present address, and the delays before them
 }
 
 // dialFunc has the signature of net.Dialer.DialContext; tests replace it to inject errors.
@@ -95,8 +96,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.address = address
-	if w.cancelCall != nil {
-		w.cancelCall()
+	if w.leaveAddress != nil {
+		w.leaveAddress()
 	}
 }
 
@@ -104,38 +105,32 @@
 func (w *Watcher) Run(ctx context.Context) error {
 	delay := w.schedule.FirstDelay()
 	for ctx.Err() == nil {
-		delay = w.runCall(ctx, delay)
+		w.watchAddress(ctx, delay)
+		delay = w.schedule.AddressChanged(w.clock.Now())
 	}
 	return nil
 }
 
-// runCall makes one call after a delay and returns the delay before the next call, both in ns. SetAddress cancels both
-// the delay and the call.
-func (w *Watcher) runCall(ctx context.Context, delay int64) (nextDelay int64) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	w.setCancelCall(cancel)
-	pause(ctx, delay)
-	if ctx.Err() == nil {
-		result, err := w.call(ctx, w.currentAddress())
-		if ctx.Err() == nil {
-			nextDelay = w.backoff(result, err)
+// watchAddress calls the service at its present address until SetAddress is called or ctx ends. delay, ns, is the time
+// before the first call.
+func (w *Watcher) watchAddress(ctx context.Context, delay int64) {
+	ctx, leave := context.WithCancel(ctx)
+	defer leave()
+	address := w.enterAddress(leave)
+	defer w.dropUnanswered()
+	for {
+		result, err := w.call(ctx, address, delay)
+		if ctx.Err() != nil {
+			return // nothing is known of the next address
 		}
+		delay = w.backoff(result, err)
 	}
-	if ctx.Err() != nil { // SetAddress was called: nothing is known of the new address yet
-		nextDelay = w.schedule.AddressChanged(w.clock.Now())
-	}
-	return nextDelay
-}
-
-func (w *Watcher) setCancelCall(cancel context.CancelFunc) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.cancelCall = cancel
 }
 
-func (w *Watcher) currentAddress() string {
+// enterAddress returns the present address. A later SetAddress calls leave.
+func (w *Watcher) enterAddress(leave context.CancelFunc) string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.leaveAddress = leave
 	return w.address
 }
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -185,7 +185,7 @@
 	for err, want := range results {
 		watcher := newTestWatcher("", History{}, nil)
 		watcher.dial = func(context.Context, string, string) (net.Conn, error) { return nil, dialError(err) }
-		if result, got := watcher.call(t.Context(), ""); result != want || !errors.Is(got, err) {
+		if result, got := watcher.call(t.Context(), "", 0); result != want || !errors.Is(got, err) {
 			t.Errorf("dial error %v: result %v, error %v, want result %v", err, result, got, want)
 		}
 	}
--- a/internal/lifecycle/startup/schedule.go
+++ b/internal/lifecycle/startup/schedule.go
@@ -12,6 +12,10 @@
 	maxNotificationTime        = 7 * second
 )
 
+// MaxAnswerTime is the longest time, ns, for which the answer to a call is awaited: by then the router counts as notified
+// of all that the answer would tell.
+const MaxAnswerTime = maxNotificationTime
+
 // answerAllowance is the time before a notification deadline that is reserved for connecting and for the answer.
 const answerAllowance = 500 * millisecond
 
@@ -53,9 +57,9 @@
 	// not call a service that truncates all its answers more often.
 	maxTruncatedRetries  = 2
 	truncatedRetrySpread = 20 * millisecond
-	// maxAnswerAge is the age of a call from which what the service sends no longer counts as the answer to the call: by
-	// then it has sent all earlier changes, since it sends a comment each second. Only a truncated answer is requested
-	// again almost at once.
+	// maxAnswerAge is the time after the beginning of an answer from which what the service sends no longer counts as the
+	// answer to the call: by then it has sent all earlier changes, since it sends a comment each second. Only a truncated
+	// answer is requested again almost at once.
 	maxAnswerAge = second
 
 	// A call that this machine could not make is retried soon, since it put no load on the service. If many
@@ -71,7 +75,7 @@
 	// The timeout of the first byte is multiplied by firstByteTimeoutGrowth after each call that the service
 	// accepts but does not answer.
 	initialFirstByteTimeout = 1700 * millisecond
-	maxFirstByteTimeout     = 7 * second
+	maxFirstByteTimeout     = MaxAnswerTime
 	firstByteTimeoutGrowth  = 4
 )
 
@@ -87,7 +91,7 @@
 
 	hasList  bool
 	hasData  bool  // a complete event or comment was received since the last call ended
-	calledAt int64 // when the last call was made
+	calledAt int64 // when the last call was made or its answer began
 	stalls   eventStalls
 
 	firstByteTimeout int64
@@ -134,7 +138,7 @@
 // ListReceived records that the router has an endpoint list, so that notification deadlines apply to its calls.
 func (s *CallSchedule) ListReceived() { s.hasList = true }
 
-// CallStarted records when a call is made. What the service sends on a young call is the answer to it.
+// CallStarted records when a call is made or its answer begins. What the service sends soon after is the answer.
 func (s *CallSchedule) CallStarted(now int64) { s.calledAt = now }
 
 // isAnswer reports whether what the service sends now counts as the answer to the call, rather than as news.
--- a/internal/protocol/sse/stream.go
+++ b/internal/protocol/sse/stream.go
@@ -28,6 +28,12 @@
 	return s.partial || s.in.Buffered() > 0
 }
 
+// AwaitData returns nil once the body of the response has begun, or the error of the reader.
+func (s *Stream) AwaitData() error {
+	_, err := s.in.Peek(1)
+	return err
+}
+
 // Open reads the status line and headers of a response, and returns the stream in its body. A status other than 200 is
 // a StatusError.
 func Open(raw io.Reader) (*Stream, error) {
