Suspended connections are resumed while memory is free; what can't be served is rejected

Cause: waker.awaitCapacity (downstream wake.go) had each connection wait for up to 20 ms, behind all before it, while as many others were active as a number worked out from the configured memory, 136 at 32 MB. With that many always active, 45 a second were resumed, and nothing bounded the wait by the time of the requests.

Change: idle.ResumeLimits decides by the memory that the runtime may still allocate below its soft limit (server memorygauge.go), of which the responses' share stays free; the former number is resumed in any case. Data that has waited for 0.2 s is not paced by the rate any more. Without memory, a request waits for a quarter of the shortest deadline of the settings at most, then its connection is resumed only to reject it (shed.go).

TestArrivalTimeOnSuspendedConnections had its connections wait by a rate of 400 a second, which now ends after 0.2 s; they wait for memory instead, 0.8 s where 0.5 s are wanted. What it checks of the arrival times is unchanged.

--- a/control/decode.go
+++ b/control/decode.go
@@ -219,6 +219,9 @@
 	s.SubscribesToEndpointList = unchecked(decoder, "list.mode", "") == "ask"
 	for _, deadline := range unchecked[[]int64](decoder, "product.hardStop", nil) {
 		s.LongestDeadline = max(s.LongestDeadline, deadline)
+		if s.ShortestDeadline == 0 || deadline < s.ShortestDeadline {
+			s.ShortestDeadline = deadline
+		}
 	}
 	s.ResponseGrace = unchecked(decoder, "answer.grace", s.ResponseGrace)
 	s.ResponseBytesPerSecond = unchecked(decoder, "answer.bytesPerS", s.ResponseBytesPerSecond)
--- a/control/settings.go
+++ b/control/settings.go
@@ -21,6 +21,7 @@
 	ResponseBytesPerSecond float64 // bytes per second at which an endpoint sends one response; 0: not known
 	Classes                []ClassSettings
 	LongestDeadline        int64 // ns; the longest time from arrival to deadline of any class
+	ShortestDeadline       int64 // ns; the shortest one; 0: unknown
 	ResponseGrace          int64 // ns; a request without a final response is ended this long after its deadline
 	MaxInFlight            int   // maximum number of requests in flight; above 0
 
--- a/control/settings_test.go
+++ b/control/settings_test.go
@@ -259,7 +259,7 @@
 	got := mustDecode(raw)
 	want := testSettings(func(s *Settings) {
 		s.SubscribesToEndpointList = true
-		s.LongestDeadline = 9 * second
+		s.LongestDeadline, s.ShortestDeadline = 9*second, second
 		s.ResponseGrace = 8 * second / 1000
 		s.ResponseBytesPerSecond = 310000
 		s.MaxInFlight = 500
@@ -279,7 +279,7 @@
 		raw[key] = struct{}{}
 	}
 	got = mustDecode(raw)
-	want = testSettings(func(s *Settings) { s.LongestDeadline, s.PurgeGrace, s.DrainGrace = 0, 0, 0 })
+	want = testSettings(func(s *Settings) { s.LongestDeadline, s.ShortestDeadline, s.PurgeGrace, s.DrainGrace = 0, 0, 0, 0 })
 	if !reflect.DeepEqual(got, want) {
 		t.Errorf("settings with wrong types %+v\nwant %+v", got, want)
 	}
--- a/internal/downstream/arrival_test.go
+++ b/internal/downstream/arrival_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"tealpath/internal/downstream/poller"
 	"tealpath/internal/router"
 )
 
@@ -168,12 +170,23 @@
 // Hundreds of suspended connections receive a request at the same time. The arrival times of those that are
 // resumed last are correct too, even of those that the poller does not report in its first batch.
 func TestArrivalTimeOnSuspendedConnections(t *testing.T) {
+	checkArrivalOnSuspendedConnections(t, poller.Kernel)
+}
+
+func checkArrivalOnSuspendedConnections(t *testing.T, calls *poller.SystemCalls) {
+	t.Helper()
 	const clients = 300
 	config := configWithIdleTimeout(1000, time.Hour)
-	config.MaxBytes, config.Cores = 64<<20, 0.2 // resumes 400 connections per second
+	config.SystemCalls = calls
+	var free atomic.Int64
+	free.Store(ampleMemory)
+	config.MaxBytes, config.MaxResumeWait, config.FreeMemory = 1<<20, testTimeout, free.Load
 	server, requests := recordArrivals(t, listen(t), config, doNothing)
 	conns := dialIdle(t, server, clients)
 	waitForSuspension(t, server)
+	// Without free memory, only 64 connections are resumed, and the others wait until there is some.
+	free.Store(0)
+	time.AfterFunc(800*time.Millisecond, func() { free.Store(ampleMemory) })
 	sent := time.Now()
 	for n, conn := range conns {
 		send(t, conn, call(uint32(n), 10))
--- a/internal/downstream/connection.go
+++ b/internal/downstream/connection.go
@@ -46,6 +46,7 @@
 	activeSince time.Time     // time at which the connection was accepted or last resumed
 	writeSignal chan struct{} // holds an element if the writer has to check queue and phase again
 	arrivals    arrivalReader // reads from conn; used only by the reading goroutine
+	rejecting   bool          // requests are rejected for want of memory; used only by the reading goroutine
 
 	mu             sync.Mutex
 	phase          phase          // guarded by mu
@@ -77,6 +78,7 @@
 
 // serve exchanges requests and responses with the client until the connection is closed or suspended.
 func (c *connection) serve(ctx context.Context) {
+	defer c.stopRejecting()
 	defer neterr.Close(c.conn)
 	stop := context.AfterFunc(ctx, func() { neterr.Close(c.conn) })
 	defer stop()
--- a/internal/downstream/idle/pacer.go
+++ b/internal/downstream/idle/pacer.go
@@ -11,6 +11,9 @@
 	acceptSuspendedRate = 8000. // for connections suspended at once, from which nothing is read
 	resumeRate          = 2000.
 
+	// maxPacedWait is the time, in ns, from which received data does not wait for a rate.
+	maxPacedWait = int64(200 * time.Millisecond)
+
 	saturatedFactor = 0.25  // factor by which each rate is multiplied while the router is saturated
 	minCores        = 0.05  // fewest cores by which the rates per core are multiplied
 	burstSeconds    = 0.002 // seconds; a bucket holds at most the tokens added in this time
@@ -78,3 +81,13 @@
 // Wait returns 0 if a connection may be resumed or closed now. Otherwise it returns how many ns to wait before the
 // next call.
 func (p *Pacer) Wait(now int64, saturated bool) int64 { return p.bucket.take(now, saturated) }
+
+// WaitToResume is like Wait for a connection on which data has waited for the given time, in ns. Data that has waited for
+// longer than maxPacedWait is not paced any more: requests would be answered too late, which is worse for their clients
+// than a slow processor is for the others.
+func (p *Pacer) WaitToResume(now, waited int64, saturated bool) int64 {
+	if waited > maxPacedWait {
+		return 0
+	}
+	return p.bucket.take(now, saturated)
+}
--- a/internal/downstream/idle/pacer_test.go
+++ b/internal/downstream/idle/pacer_test.go
@@ -59,6 +59,45 @@
 	}
 }
 
+// While memory is free, a connection with data must not wait for the number of active ones; without memory its requests
+// must be rejected once they have waited for MaxWait.
+func TestResumeDecision(t *testing.T) {
+	limits := ResumeLimits{MaxActive: 100, ReservedBytes: 1 << 20, MaxWait: 500}
+	const enough = 1<<20 + bytesPerActiveConnection
+	for _, test := range []struct {
+		active       int
+		free, waited int64
+		want         ResumeDecision
+	}{
+		{99, 0, 0, Resume},
+		{99, -1, 1000, Resume},
+		{100, enough, 0, Resume},
+		{5000, enough, 1000, Resume},
+		{100, enough - 1, 0, ResumeLater},
+		{100, enough - 1, 499, ResumeLater},
+		{100, enough - 1, 500, ResumeAndReject},
+		{100, -1, 500, ResumeAndReject},
+	} {
+		if got := limits.Decide(test.active, test.free, test.waited); got != test.want {
+			t.Errorf("Decide(%d, %d, %d) = %d, want %d", test.active, test.free, test.waited, got, test.want)
+		}
+	}
+}
+
+// Data that has waited for longer than maxPacedWait must not wait for a rate, even on a saturated router.
+func TestLongWaitingDataIsNotPaced(t *testing.T) {
+	pacer := NewResumePacer(0.1)
+	for range 100 {
+		pacer.WaitToResume(0, 0, true)
+	}
+	if wait := pacer.WaitToResume(0, maxPacedWait, true); wait <= 0 {
+		t.Errorf("data that has waited for %d ns is not paced, want it paced up to then", maxPacedWait)
+	}
+	if wait := pacer.WaitToResume(0, maxPacedWait+1, true); wait != 0 {
+		t.Errorf("data that has waited for longer has to wait for %d ns more, want 0", wait)
+	}
+}
+
 func TestMaxActiveConnections(t *testing.T) {
 	for memoryBytes, want := range map[int64]int{0: minActiveConnections, 48 << 20: 1024} {
 		if got := MaxActiveConnections(memoryBytes); got != want {
--- a/internal/downstream/idle/suspend.go
+++ b/internal/downstream/idle/suspend.go
@@ -23,10 +23,39 @@
 	minActiveConnections = 64
 )
 
-// MaxResumeDelayMS is the maximum time, in ms, that a suspended connection with received data waits for the number
-// of active connections to fall below MaxActiveConnections. After that it is resumed anyway, because busy
-// connections could otherwise delay it forever.
-const MaxResumeDelayMS = 20
+// ResumeDecision says what to do with a suspended connection that has received data.
+type ResumeDecision int
+
+const (
+	// ResumeLater means that there is no memory for the connection yet.
+	ResumeLater ResumeDecision = iota
+
+	// Resume resumes the connection.
+	Resume
+
+	// ResumeAndReject resumes the connection only to reject what it has received: there is no memory to serve it, and its
+	// client cannot wait any longer.
+	ResumeAndReject
+)
+
+// ResumeLimits decide when suspended connections are resumed.
+type ResumeLimits struct {
+	MaxActive     int   // number of active connections below which one is resumed whatever the free memory
+	ReservedBytes int64 // free memory that connections beyond MaxActive have to leave
+	MaxWait       int64 // longest time that received data may wait for memory, ns
+}
+
+// Decide returns what to do with a suspended connection. active is the number of active connections, freeBytes the
+// memory that the process may still allocate, and waited the time, in ns, for which the connection's data has waited.
+func (l ResumeLimits) Decide(active int, freeBytes, waited int64) ResumeDecision {
+	switch {
+	case active < l.MaxActive || freeBytes >= l.ReservedBytes+bytesPerActiveConnection:
+		return Resume
+	case waited < l.MaxWait:
+		return ResumeLater
+	}
+	return ResumeAndReject
+}
 
 // SuspendDelay returns the time, in ns, after which an idle connection is suspended. waiting is the number of
 // suspended connections that wait to be resumed. active is the number of active connections, and maxActive the number
@@ -38,9 +67,9 @@
 	return suspendDelay
 }
 
-// MaxActiveConnections returns how many connections may hold goroutines and buffers at once if memoryBytes is the
-// memory for clients. All suspended connections may receive data at the same time: those beyond the limit wait to be
-// resumed, and their data stays in the kernel's buffers.
+// MaxActiveConnections returns how many connections may hold goroutines and buffers at once, whatever the free memory,
+// if memoryBytes is the memory for clients. All suspended connections may receive data at the same time: those beyond
+// the limit are resumed only while memory is free, and until then their data stays in the kernel's buffers.
 func MaxActiveConnections(memoryBytes int64) int {
 	return max(minActiveConnections, int(activeMemoryShare*float64(memoryBytes)/bytesPerActiveConnection))
 }
--- a/internal/downstream/read.go
+++ b/internal/downstream/read.go
@@ -16,6 +16,10 @@
 )
 
 const (
+	// rejectingSuspendDelay is the time without data after which a connection that was resumed only for its requests to
+	// be rejected is suspended again.
+	rejectingSuspendDelay = 10 * time.Millisecond
+
 	// maxSmallFrameBytes is the largest size of a frame that is read without reserving memory in memoryLimits.
 	maxSmallFrameBytes = 4096
 
@@ -72,6 +76,7 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err
 		}
+		c.stopRejecting()
 		if c.isDraining() {
 			return errDraining
 		}
@@ -104,6 +109,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
+	if c.rejecting && c.responded {
+		return now.Add(rejectingSuspendDelay)
+	}
 	if c.responded {
 		// If the connection is idle at this time, it is suspended. The table decides when to close it.
 		return now.Add(time.Duration(c.server.suspendDelay()))
@@ -187,6 +195,10 @@
 // handleCall puts a request in flight and posts it, or rejects it. It returns false if the connection is
 // draining.
 func (c *connection) handleCall(message thrift.Message, arguments thrift.Arguments, arrivedAt int64) bool {
+	if c.mustReject() {
+		c.send(rejection(message.Seq))
+		return true
+	}
 	switch c.addRequest(message.Seq) {
 	case requestAdmitted:
 		c.server.post(requestReceived(c.id, message.Seq, arrivedAt, arguments))
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -1,6 +1,7 @@
 package downstream
 
 import (
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -13,12 +14,17 @@
 	"tealpath/internal/router"
 )
 
+// defaultMaxResumeWait is used if the configuration sets no MaxResumeWait.
+const defaultMaxResumeWait = 200 * time.Millisecond
+
 // Config holds the limits and dependencies of a Server.
 type Config struct {
 	MaxConnections           int
 	MaxRequestsPerConnection int                 // maximum number of requests in flight on one connection
 	MaxBytes                 int64               // bytes for large requests and, separately, for unwritten responses
 	MaxRequestTime           time.Duration       // longest time for which a client waits for a response; 0: 2 s
+	MaxResumeWait            time.Duration       // longest time that received data may wait for memory; 0: 0.2 s
+	FreeMemory               func() int64        // bytes that the process may still allocate; nil: enough
 	Cores                    float64             // processor cores available to the process; 0: one
 	Seed                     uint64              // seed of the random jitter of idle timeouts
 	Saturated                func() bool         // whether events are waiting for the router's goroutine; nil: never
@@ -29,6 +35,12 @@
 
 // withDefaults returns a copy of the configuration in which fields that are nil or 0 have their default values.
 func (c Config) withDefaults() Config {
+	if c.MaxResumeWait <= 0 {
+		c.MaxResumeWait = defaultMaxResumeWait
+	}
+	if c.FreeMemory == nil {
+		c.FreeMemory = func() int64 { return math.MaxInt64 }
+	}
 	if c.MaxRequestTime <= 0 {
 		c.MaxRequestTime = requestStallTimeout
 	}
@@ -49,18 +61,20 @@
 
 // Server accepts the client connections of one listener, posts their requests to the router and writes its responses.
 type Server struct {
-	listener   net.Listener
-	config     Config
-	post       func(router.Event)
-	emit       func(logevent.Event)
-	ready      atomic.Bool // the answer to health requests is "healthy"
-	pacer      *idle.AcceptPacer
-	memory     *memoryLimits
-	idle       *idleConnections
-	heartbeat  heartbeat
-	goroutines sync.WaitGroup
+	listener     net.Listener
+	config       Config
+	post         func(router.Event)
+	emit         func(logevent.Event)
+	ready        atomic.Bool // the answer to health requests is "healthy"
+	pacer        *idle.AcceptPacer
+	resumeLimits idle.ResumeLimits
+	memory       *memoryLimits
+	idle         *idleConnections
+	heartbeat    heartbeat
+	goroutines   sync.WaitGroup
 
 	serving   atomic.Int64 // number of connections that have goroutines
+	shedding  atomic.Int64 // number of connections that are active only to reject requests for want of memory
 	rejecting atomic.Int64 // number of connections without a slot in the table whose requests are being rejected
 
 	answerDeadline atomic.Int64 // see SetAnswerDeadline; 0: none
@@ -85,11 +99,16 @@
 ) *Server {
 	config = config.withDefaults()
 	return &Server{
-		listener:    listener,
-		config:      config,
-		post:        post,
-		emit:        emit,
-		pacer:       idle.NewAcceptPacer(config.Cores),
+		listener: listener,
+		config:   config,
+		post:     post,
+		emit:     emit,
+		pacer:    idle.NewAcceptPacer(config.Cores),
+		resumeLimits: idle.ResumeLimits{
+			MaxActive:     idle.MaxActiveConnections(config.MaxBytes),
+			ReservedBytes: config.MaxBytes,
+			MaxWait:       int64(config.MaxResumeWait),
+		},
 		memory:      newMemoryLimits(config.MaxBytes, emit),
 		idle:        newIdleConnections(config, emit),
 		connections: map[router.ClientID]*connection{},
--- a/internal/downstream/suspend.go
+++ b/internal/downstream/suspend.go
@@ -11,8 +11,9 @@
 
 // wakeUp is a suspended connection to be resumed, with the earliest time at which its unread data can have arrived.
 type wakeUp struct {
-	slot  slotKey
-	since time.Time
+	slot      slotKey
+	since     time.Time
+	rejecting bool // there is no memory to serve what the connection has received
 }
 
 // canSuspend reports whether idle connections can be suspended: the system supports it, and no system call for it has
--- a/internal/downstream/wake.go
+++ b/internal/downstream/wake.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"time"
 
 	"tealpath/internal/downstream/idle"
@@ -92,6 +93,10 @@
 	c := newConnection(s, conn, wake.slot)
 	c.responded = !taken.beforeFirstRequest
 	c.reading = true
+	if wake.rejecting {
+		c.rejecting = true
+		s.shedding.Add(1)
+	}
 	c.arrivals.begin(s.now()-int64(time.Since(wake.since)), uint32(taken.segments))
 	s.register(c)
 	s.start(ctx, c)
@@ -113,11 +118,9 @@
 	}
 }
 
-// waker resumes the suspended connections that have received data, and limits how many connections are active at the
-// same time according to the memory.
+// waker resumes the suspended connections that have received data, as fast as the processor and the free memory allow.
 type waker struct {
 	server      *Server
-	maxActive   int // number of active connections from which resuming is delayed
 	resumePacer *idle.Pacer
 	closePacer  *idle.Pacer
 	emptyAt     time.Time // last time at which all events of the poller were known to have been returned
@@ -127,7 +130,6 @@
 func newWaker(s *Server) *waker {
 	return &waker{
 		server:      s,
-		maxActive:   idle.MaxActiveConnections(s.config.MaxBytes),
 		resumePacer: idle.NewResumePacer(s.config.Cores),
 		closePacer:  idle.NewClosePacer(s.config.Cores),
 		emptyAt:     time.Now(),
@@ -188,42 +190,64 @@
 			ended = append(ended, wake)
 		}
 	}
-	return w.resume(ctx, withData, w.resumePacer) && w.resume(ctx, ended, w.closePacer)
+	return w.resumeWithData(ctx, withData) && w.resumeEnded(ctx, ended)
 }
 
-// resume resumes connections as fast as the pacer and the number of active connections allow, and returns false if the
-// context ends.
-func (w *waker) resume(ctx context.Context, wakes []wakeUp, pacer *idle.Pacer) bool {
+// resumeWithData resumes connections that have received data, and returns false if the context ends.
+func (w *waker) resumeWithData(ctx context.Context, wakes []wakeUp) bool {
 	for _, wake := range wakes {
-		if !w.awaitPacer(ctx, pacer) || !w.awaitCapacity(ctx) {
+		rejecting, ok := w.awaitTurn(ctx, wake.since)
+		if !ok {
 			return false
 		}
+		wake.rejecting = rejecting
 		w.server.resume(ctx, wake)
 		w.server.idle.waiting.Add(-1)
+		runtime.Gosched() // requests that are being served go first, also where no rate limits the resuming
 	}
 	return true
 }
 
-// awaitPacer returns true once the pacer allows the next connection to be resumed, or false if the context ends.
-func (w *waker) awaitPacer(ctx context.Context, pacer *idle.Pacer) bool {
+// resumeEnded resumes connections whose clients have closed their side, and returns false if the context ends.
+func (w *waker) resumeEnded(ctx context.Context, wakes []wakeUp) bool {
+	for _, wake := range wakes {
+		wait := w.closePacer.Wait(w.server.now(), w.server.config.Saturated())
+		for ; wait > 0; wait = w.closePacer.Wait(w.server.now(), w.server.config.Saturated()) {
+			if !pause(ctx, time.Duration(wait)) {
+				return false
+			}
+		}
+		w.server.resume(ctx, wake)
+		w.server.idle.waiting.Add(-1)
+	}
+	return true
+}
+
+// awaitTurn waits until a connection may be resumed on which data has waited since a time. rejecting means that there is
+// no memory to serve what it has received. ok is false if the context ends first.
+func (w *waker) awaitTurn(ctx context.Context, since time.Time) (rejecting, ok bool) {
+	config := w.server.config
 	for {
-		wait := time.Duration(pacer.Wait(w.server.now(), w.server.config.Saturated()))
+		waited := int64(time.Since(since))
+		wait := time.Duration(w.resumePacer.WaitToResume(w.server.now(), waited, config.Saturated()))
 		if wait <= 0 {
-			return true
+			break
 		}
 		if !pause(ctx, wait) {
-			return false
+			return false, false
 		}
 	}
-}
-
-// awaitCapacity waits until fewer than w.maxActive connections are active, but for at most about
-// idle.MaxResumeDelayMS. It returns false if the context ends.
-func (w *waker) awaitCapacity(ctx context.Context) bool {
-	for tries := 0; w.server.activeConnections() >= w.maxActive && tries < idle.MaxResumeDelayMS; tries++ {
+	for {
+		switch w.server.resumeDecision(int64(time.Since(since))) {
+		case idle.Resume:
+			return false, true
+		case idle.ResumeAndReject:
+			if w.server.shedding.Load() < maxShedding {
+				return true, true
+			}
+		}
 		if !pause(ctx, time.Millisecond) {
-			return false
+			return false, false
 		}
 	}
-	return true
 }
--- a/internal/server/limits.go
+++ b/internal/server/limits.go
@@ -35,6 +35,9 @@
 	upstreamSocketShare = 0.25
 )
 
+// resumeWaitDivisor divides the shortest deadline of a client: the result is how long a request may wait to be read.
+const resumeWaitDivisor = 4
+
 const (
 	// minSockets replaces a smaller configured number of descriptors, because its shares would be too small to serve
 	// any client.
@@ -111,6 +114,12 @@
 	return shortest
 }
 
+// maxResumeWait returns how long a request on a suspended connection may wait for memory: it is rejected early enough
+// for its client to try another router in the rest of its time.
+func (s *Server) maxResumeWait() time.Duration {
+	return time.Duration(s.config.Settings.ShortestDeadline) / resumeWaitDivisor
+}
+
 // longestDeadline returns the longest time for which a client may wait for a response.
 func (s *Server) longestDeadline() time.Duration {
 	return time.Duration(s.config.Settings.LongestDeadline)
--- a/internal/server/start.go
+++ b/internal/server/start.go
@@ -76,6 +76,8 @@
 		MaxRequestsPerConnection: maxOpenRequestsPerClient,
 		MaxBytes:                 int64(s.memoryBytes(responseMemoryShare)),
 		MaxRequestTime:           s.longestDeadline(),
+		MaxResumeWait:            s.maxResumeWait(),
+		FreeMemory:               newMemoryGauge(int64(s.memoryBytes(collectorMemoryShare))).free,
 		Cores:                    s.config.Cores,
 		Seed:                     s.config.Seed,
 		Clock:                    s.clock,
