Few routers call discovery within a tenth of an outage once it is back

Cause: the backoff of refused calls grew to maxRetryDelay, 5 s, whatever the number of routers and the length of the outage (startup schedule.go, retryDelay).

Evidence: TestServiceIsCalledSoonAfterAnOutage, with the schedules alone: calls up to 5 s after the end of the outage on the text before.

Change: the delay is at most a tenth of the outage so far, and at least three times the shortest delay of the fleet, which follows from its size and the rate of retries.

--- a/internal/lifecycle/startup/schedule.go
+++ b/internal/lifecycle/startup/schedule.go
@@ -47,6 +47,11 @@
 	maxRetryDelay = maxNotificationTime - 2*second
 	backoffGrowth = 3 // decorrelated jitter: the next delay is at most this multiple of the last one
 
+	// While the service refuses calls, the delay is at most 1/outageDivisor of the time for which it has been out of reach,
+	// but not less than backoffGrowth times the shortest delay. The router counts as notified of a change 7 s after it,
+	// so once the service is back, a call has to follow soon compared with the outage.
+	outageDivisor = 10
+
 	// minUnansweredDelay is the shortest delay after a call that was accepted but not answered. If routers that
 	// give up called again soon, their calls would refill the service's queue as fast as it empties.
 	minUnansweredDelay = maxRetryDelay * 2 / 3
@@ -96,6 +101,7 @@
 
 	firstByteTimeout int64
 	lastDelay        int64 // last delay of the backoff; 0: the backoff starts again
+	unreachableSince int64 // when the first call since data was received ended, ns; 0: none has
 	localErrorDelay  int64 // last delay after a call that this machine could not make; 0: there was none
 	truncations      int   // number of consecutive answers that were truncated
 
@@ -147,7 +153,7 @@
 // DataReceived records that a complete event or comment was received. It resets the backoff and the timeout of the
 // first byte.
 func (s *CallSchedule) DataReceived() {
-	s.hasData, s.firstByteTimeout, s.lastDelay = true, initialFirstByteTimeout, 0
+	s.hasData, s.firstByteTimeout, s.lastDelay, s.unreachableSince = true, initialFirstByteTimeout, 0, 0
 }
 
 // EventReceived records that an event was received completely, and the longest pause inside it, ns.
@@ -191,6 +197,9 @@
 	if result == LocalError {
 		return s.delayAfterLocalError()
 	}
+	if s.unreachableSince == 0 {
+		s.unreachableSince = now
+	}
 	hadData := s.hasData
 	s.hasData, s.localErrorDelay = false, 0
 	if s.retriesAlmostAtOnce(now, result) {
@@ -204,7 +213,7 @@
 	case !s.hasList && result != Unanswered:
 		return s.delayWithoutList()
 	}
-	return s.advanceToDeadline(now, s.retryDelay(result))
+	return s.advanceToDeadline(now, s.retryDelay(now, result))
 }
 
 // retriesAlmostAtOnce reports whether the next call is made within truncatedRetrySpread because the answer was
@@ -239,13 +248,14 @@
 }
 
 // retryDelay returns the delay of the backoff after a call that was refused or got no answer.
-func (s *CallSchedule) retryDelay(result CallResult) int64 {
-	minDelay := min(max(s.spread(retryRate, maxRetryDelay), minRetryDelay), maxRetryDelay/2)
+func (s *CallSchedule) retryDelay(now int64, result CallResult) int64 {
 	if result == Unanswered {
 		s.firstByteTimeout = min(firstByteTimeoutGrowth*s.firstByteTimeout, maxFirstByteTimeout)
-		minDelay = minUnansweredDelay
+		return s.backoff(minUnansweredDelay, 2*minUnansweredDelay, maxRetryDelay)
 	}
-	return s.backoff(minDelay, 2*minDelay, maxRetryDelay)
+	minDelay := min(max(s.spread(retryRate, maxRetryDelay), minRetryDelay), maxRetryDelay/2)
+	maxDelay := max(backoffGrowth*minDelay, (now-s.unreachableSince)/outageDivisor)
+	return s.backoff(minDelay, 2*minDelay, min(maxDelay, maxRetryDelay))
 }
 
 // advanceToDeadline shortens the delay of a retry that would miss the notification deadline. The retry is made at a
--- a/internal/lifecycle/startup/schedule_test.go
+++ b/internal/lifecycle/startup/schedule_test.go
@@ -131,6 +131,56 @@
 	}
 }
 
+// outageCalls returns the times, until the given one, of the calls of each of the routers with a list that lose their
+// connection at time 0 and are refused from then on. The seeds of the routers follow firstSeed.
+func outageCalls(routers int, firstSeed uint64, until int64) (all [][]int64) {
+	for i := range routers {
+		schedule := NewCallSchedule(firstSeed+uint64(i), routers, ReadinessHold{})
+		schedule.ListReceived()
+		schedule.DataReceived()
+		var calls []int64
+		for at := schedule.CallEnded(0, Disconnected); at < until; at += schedule.CallEnded(at, Refused) {
+			calls = append(calls, at)
+		}
+		all = append(all, calls)
+	}
+	return all
+}
+
+// Once a service is back, each router has to call it soon, compared with the outage: a cache that began to drain
+// during the outage counts as known 7 s later. With few routers the delay used to grow to 5 s, whatever the outage.
+func TestServiceIsCalledSoonAfterAnOutage(t *testing.T) {
+	for _, routers := range []int{1, 4, 20} {
+		for _, outage := range []int64{2 * second, 4 * second, 8 * second, 20 * second, 40 * second} {
+			limit := max(backoffGrowth*minRetryDelay, outage/outageDivisor)
+			for seed := range uint64(50) {
+				for router, calls := range outageCalls(routers, seed, outage+maxRetryDelay) {
+					late := callsFrom(calls, outage)
+					if len(late) == 0 || late[0]-outage > limit {
+						t.Fatalf("%d routers, an outage of %d ms, seed %d: router %d calls at %v from its end on, want within %d ms",
+							routers, outage/millisecond, seed, router, late, limit/millisecond)
+					}
+				}
+			}
+		}
+	}
+}
+
+// However soon few routers call, the calls of all routers stay within the target rate of retries, once the connections
+// that were lost together have been tried again.
+func TestCallsDuringAnOutageSpareTheService(t *testing.T) {
+	const margin = 1.2 // for random peaks
+	for _, routers := range []int{4, 20, 100, 300} {
+		var all []int64
+		for _, calls := range outageCalls(routers, 1, 30*second) {
+			all = append(all, calls...)
+		}
+		if peak := peakCalls(callsFrom(all, 2*second), second); float64(peak) > margin*retryRate {
+			t.Errorf("%d routers: %d calls in one second, want %.0f at most", routers, peak, margin*retryRate)
+		}
+	}
+}
+
 // Routers without a list serve no client, so all their calls are spread, including the first ones. The peak of
 // calls per second is at most a tenth of the peak without a schedule, and delays have an upper bound.
 func TestCallsWithoutListAreSpread(t *testing.T) {
