--- a/deploy/red_test.go
+++ b/deploy/red_test.go
@@ -8,8 +8,9 @@
 	"testing"
 )
 
-// .ci/red runs the tests and cases that are known to fail, and separately all other tests, which must pass. This test runs
-// it on a module with two packages, in which one test passes and two fail, and with a case whose exit code is its argument.
+// .ci/red runs the tests and cases that are known to fail, and separately all other tests, which must pass. This test
+// runs it on a module with two packages, in which one test passes and two fail, and with a case whose exit code is its
+// argument.
 func TestKnownRed(t *testing.T) {
 	red, err := filepath.Abs("../.ci/red")
 	if err != nil {
--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -28,9 +28,9 @@
 	pause    int64       // longest wait for a byte inside the event or comment that is being received, ns
 }
 
-// call makes a call of the service after a delay, ns, and processes events and comments until the connection ends. If an
-// earlier call is answered before that, call continues with the earlier one. It returns how the call ended; the error is
-// never nil.
+// call makes a call of the service after a delay, ns, and processes events and comments until the connection ends. If
+// an earlier call is answered before that, call continues with the earlier one. It returns how the call ended; the
+// error is never nil.
 func (w *Watcher) call(ctx context.Context, address string, delay int64) (startup.CallResult, error) {
 	answered := w.pause(ctx, delay)
 	if ctx.Err() != nil {
@@ -148,8 +148,8 @@
 }
 
 // Read implements io.Reader for the stream. Before the answer has begun, the deadline is that of the opening. Between
-// events, the timeout allows for the time between two comments of the service. Inside an event startup.CallSchedule sets
-// another one, and is told of the pauses.
+// events, the timeout allows for the time between two comments of the service. Inside an event startup.CallSchedule
+// sets another one, and is told of the pauses.
 func (c *call) Read(p []byte) (int, error) {
 	if !c.answered {
 		return c.conn.Read(p)
--- a/internal/discovery/opening.go
+++ b/internal/discovery/opening.go
@@ -14,8 +14,8 @@
 
 // opening is a call whose answer has not begun. A goroutine of its own waits for the answer.
 //
-// A call that is not answered in time is repeated, but the answer is still awaited beside the next calls: a slow service
-// answers it first, and changes have to be learned before the notification deadline.
+// A call that is not answered in time is repeated, but the answer is still awaited beside the next calls: a slow
+// service answers it first, and changes have to be learned before the notification deadline.
 type opening struct {
 	call   *call
 	stop   func() bool // ends the closing of the connection with the context
@@ -51,8 +51,8 @@
 	neterr.Close(o.call.conn)
 }
 
-// awaitAnswer waits until the answer of a call, or of the earlier unanswered one, has begun. It returns the call that is
-// answered and closes the other one. If the call fails, awaitAnswer returns its result and the error. If it is not
+// awaitAnswer waits until the answer of a call, or of the earlier unanswered one, has begun. It returns the call that
+// is answered and closes the other one. If the call fails, awaitAnswer returns its result and the error. If it is not
 // answered in time, it is kept as the unanswered call, unless there is an earlier one.
 func (w *Watcher) awaitAnswer(ctx context.Context, opened *opening) (*opening, startup.CallResult, error) {
 	timer := time.NewTimer(time.Until(w.readDeadline()))
@@ -111,8 +111,8 @@
 	return answered
 }
 
-// unansweredResult returns the channel on which the unanswered call reports. It is nil, on which nothing is received, if
-// there is no such call.
+// unansweredResult returns the channel on which the unanswered call reports. It is nil, on which nothing is received,
+// if there is no such call.
 func (w *Watcher) unansweredResult() <-chan error {
 	if w.unanswered == nil {
 		return nil
--- a/internal/discovery/opening_test.go
+++ b/internal/discovery/opening_test.go
@@ -14,8 +14,8 @@
 // earlier changes.
 const notificationDeadline = 4 * time.Second
 
-// startAtOldService returns a watcher with a list, one of routers, that is connected to a service without news, and that
-// service.
+// startAtOldService returns a watcher with a list, one of routers, that is connected to a service without news, and
+// that service.
 func startAtOldService(t *testing.T, routers int) *testWatcher {
 	t.Helper()
 	old := startFakeService(t, alwaysRespond(responseHead+": here\n\n"))
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -46,9 +46,9 @@
 	snapshotList *snapshotList // list that the service has not confirmed yet; nil: none
 	unanswered   *opening      // earlier call whose answer is still awaited; nil: none
 
-	mu           sync.Mutex
-	address      string             // guarded by mu
-	leaveAddress context.CancelFunc // guarded by mu; ends the calls of the present address, and the delays before them
+	mu            sync.Mutex
+	address       string             // guarded by mu
+	cancelAddress context.CancelFunc // guarded by mu; ends the calls of the present address, and the delays before them
 }
 
 // dialFunc has the signature of net.Dialer.DialContext; tests replace it to inject errors.
@@ -96,8 +96,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.address = address
-	if w.leaveAddress != nil {
-		w.leaveAddress()
+	if w.cancelAddress != nil {
+		w.cancelAddress()
 	}
 }
 
@@ -114,9 +114,9 @@
 // watchAddress calls the service at its present address until SetAddress is called or ctx ends. delay, ns, is the time
 // before the first call.
 func (w *Watcher) watchAddress(ctx context.Context, delay int64) {
-	ctx, leave := context.WithCancel(ctx)
-	defer leave()
-	address := w.enterAddress(leave)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	address := w.enterAddress(cancel)
 	defer w.dropUnanswered()
 	for {
 		result, err := w.call(ctx, address, delay)
@@ -127,10 +127,10 @@
 	}
 }
 
-// enterAddress returns the present address. A later SetAddress calls leave.
-func (w *Watcher) enterAddress(leave context.CancelFunc) string {
+// enterAddress returns the present address. A later SetAddress calls cancel.
+func (w *Watcher) enterAddress(cancel context.CancelFunc) string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.leaveAddress = leave
+	w.cancelAddress = cancel
 	return w.address
 }
--- a/internal/downstream/frame.go
+++ b/internal/downstream/frame.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// requestStallTimeout is how long a client that has had no response yet may go on without sending the next byte of a
-	// request, and how long a client may take for the rest of a rejected one. It is also the time limit of a request if
-	// the settings state no deadlines.
+	// requestStallTimeout is how long a client that has had no response yet may go on without sending the next byte of
+	// a request, and how long a client may take for the rest of a rejected one. It is also the time limit of a request
+	// if the settings state no deadlines.
 	requestStallTimeout = 2 * time.Second
 
 	// frameCheckInterval is the maximum time between two checks of whether the rest of a frame is to be awaited.
@@ -104,7 +104,7 @@
 // checkWait returns nil if the rest of the frame is to be awaited, or the reason why not.
 func (f *incomingFrame) checkWait(now time.Time) error {
 	c := f.connection
-	expired := !now.Before(f.expiresAt) || c.server.pastAnswerDeadline()
+	expired := !now.Before(f.expiresAt) || c.server.answerDeadlineReached()
 	stalled := now.Sub(f.progressAt) >= requestStallTimeout
 	mayPause := c.hasResponded() && !f.rejected
 	switch {
@@ -220,9 +220,9 @@
 // discard reads the rest of the frame, whose size is given in bytes, and drops it. A client that has no other request
 // in flight may take requestStallTimeout for it.
 func (f *incomingFrame) discard(size int) error {
-	rest := size - f.received
+	remaining := size - f.received
 	f.buffer, f.rejected = nil, true
 	f.expiresAt = time.Now().Add(requestStallTimeout)
-	_, err := io.CopyN(io.Discard, f, int64(rest))
+	_, err := io.CopyN(io.Discard, f, int64(remaining))
 	return err
 }
--- a/internal/downstream/idle/pacer.go
+++ b/internal/downstream/idle/pacer.go
@@ -82,9 +82,9 @@
 // next call.
 func (p *Pacer) Wait(now int64, saturated bool) int64 { return p.bucket.take(now, saturated) }
 
-// WaitToResume is like Wait for a connection on which data has waited for the given time, in ns. Data that has waited for
-// longer than maxPacedWait is not paced any more: requests would be answered too late, which is worse for their clients
-// than a slow processor is for the others.
+// WaitToResume is like Wait for a connection on which data has waited for the given time, in ns. Data that has waited
+// for longer than maxPacedWait is not paced any more: requests would be answered too late, which is worse for their
+// clients than a slow processor is for the others.
 func (p *Pacer) WaitToResume(now, waited int64, saturated bool) int64 {
 	if waited > maxPacedWait {
 		return 0
--- a/internal/downstream/idle/suspend.go
+++ b/internal/downstream/idle/suspend.go
@@ -33,8 +33,8 @@
 	// Resume resumes the connection.
 	Resume
 
-	// ResumeAndReject resumes the connection only to reject what it has received: there is no memory to serve it, and its
-	// client cannot wait any longer.
+	// ResumeAndReject resumes the connection only to reject what it has received: there is no memory to serve it, and
+	// its client cannot wait any longer.
 	ResumeAndReject
 )
 
--- a/internal/downstream/read.go
+++ b/internal/downstream/read.go
@@ -242,14 +242,14 @@
 // response. rejectBuffered returns the error that ends the reading.
 func (c *connection) rejectBuffered(in *bufio.Reader) error {
 	for hasBufferedFrame(in) {
-		message, rest, err := readHeader(in)
+		message, remaining, err := readHeader(in)
 		if err != nil {
 			break
 		}
 		if isRequest(message) {
 			c.send(rejection(message.Seq))
 		}
-		if _, err := in.Discard(rest); err != nil {
+		if _, err := in.Discard(remaining); err != nil {
 			break
 		}
 	}
@@ -268,7 +268,7 @@
 
 // readHeader reads the start of a frame and parses the header of its message: the name, type and sequence number. It
 // also returns the number of bytes of the frame that it has not read.
-func readHeader(in *bufio.Reader) (message thrift.Message, rest int, err error) {
+func readHeader(in *bufio.Reader) (message thrift.Message, remaining int, err error) {
 	size, err := thrift.ReadFrameSize(in)
 	if err != nil {
 		return thrift.Message{}, 0, err
--- a/internal/downstream/reject.go
+++ b/internal/downstream/reject.go
@@ -84,7 +84,7 @@
 	setWriteDeadline(conn, deadline)
 	in := bufio.NewReaderSize(neterr.Reader{From: conn}, maxHeaderBytes)
 	for {
-		message, rest, err := readHeader(in)
+		message, remaining, err := readHeader(in)
 		if err != nil {
 			break
 		}
@@ -92,7 +92,7 @@
 		if isRequest(message) && !writeRejection(conn, message.Seq) {
 			return
 		}
-		if _, err := in.Discard(rest); err != nil {
+		if _, err := in.Discard(remaining); err != nil {
 			break
 		}
 	}
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -125,8 +125,8 @@
 // end: a request that is received only partly by then is rejected.
 func (s *Server) SetAnswerDeadline(deadline int64) { s.answerDeadline.Store(deadline) }
 
-// pastAnswerDeadline reports whether the time set with SetAnswerDeadline has come.
-func (s *Server) pastAnswerDeadline() bool {
+// answerDeadlineReached reports whether the time set with SetAnswerDeadline has come.
+func (s *Server) answerDeadlineReached() bool {
 	deadline := s.answerDeadline.Load()
 	return deadline > 0 && s.now() >= deadline
 }
--- a/internal/downstream/shed.go
+++ b/internal/downstream/shed.go
@@ -15,8 +15,8 @@
 	return s.resumeLimits.Decide(s.activeConnections(), s.config.FreeMemory(), waited)
 }
 
-// mustReject reports whether a request has to be rejected because its connection was resumed without memory to serve it,
-// and there is still none. Only the connection's reader may call it.
+// mustReject reports whether a request has to be rejected because its connection was resumed without memory to serve
+// it, and there is still none. Only the connection's reader may call it.
 func (c *connection) mustReject() bool {
 	if c.rejecting && c.server.resumeDecision(math.MaxInt64) == idle.Resume {
 		c.stopRejecting()
--- a/internal/downstream/systemcalls_linux_test.go
+++ b/internal/downstream/systemcalls_linux_test.go
@@ -244,8 +244,9 @@
 	}
 }
 
-// A call of the poller that takes long although its events have been pending, as on a busy processor, must not pass for
-// one that waited: the requests would seem to arrive only when they are read, and get more time than their clients wait.
+// A call of the poller that takes long although its events have been pending, as on a busy processor, must not pass
+// for one that waited: the requests would seem to arrive only when they are read, and get more time than their clients
+// wait.
 func TestArrivalTimeWithSlowPoller(t *testing.T) {
 	slow := *poller.Kernel
 	slow.EpollWait = func(set int, events []unix.EpollEvent, milliseconds int) (int, error) {
--- a/internal/downstream/wake.go
+++ b/internal/downstream/wake.go
@@ -225,8 +225,8 @@
 	return true
 }
 
-// awaitTurn waits until a connection may be resumed on which data has waited since a time. rejecting means that there is
-// no memory to serve what it has received. ok is false if the context ends first.
+// awaitTurn waits until a connection may be resumed on which data has waited since a time. rejecting means that there
+// is no memory to serve what it has received. ok is false if the context ends first.
 func (w *waker) awaitTurn(ctx context.Context, since time.Time) (rejecting, ok bool) {
 	config := w.server.config
 	for {
--- a/internal/lifecycle/startup/schedule.go
+++ b/internal/lifecycle/startup/schedule.go
@@ -12,8 +12,8 @@
 	maxNotificationTime        = 7 * second
 )
 
-// MaxAnswerTime is the longest time, ns, for which the answer to a call is awaited: by then the router counts as notified
-// of all that the answer would tell.
+// MaxAnswerTime is the longest time, ns, for which the answer to a call is awaited: by then the router counts as
+// notified of all that the answer would tell.
 const MaxAnswerTime = maxNotificationTime
 
 // answerAllowance is the time before a notification deadline that is reserved for connecting and for the answer.
@@ -47,9 +47,9 @@
 	maxRetryDelay = maxNotificationTime - 2*second
 	backoffGrowth = 3 // decorrelated jitter: the next delay is at most this multiple of the last one
 
-	// While the service refuses calls, the delay is at most 1/outageDivisor of the time for which it has been out of reach,
-	// but not less than backoffGrowth times the shortest delay. The router counts as notified of a change 7 s after it,
-	// so once the service is back, a call has to follow soon compared with the outage.
+	// While the service refuses calls, the delay is at most 1/outageDivisor of the time for which it has been out of
+	// reach, but not less than backoffGrowth times the shortest delay. The router counts as notified of a change 7 s
+	// after it, so once the service is back, a call has to follow soon compared with the outage.
 	outageDivisor = 10
 
 	// minUnansweredDelay is the shortest delay after a call that was accepted but not answered. If routers that
@@ -62,9 +62,9 @@
 	// not call a service that truncates all its answers more often.
 	maxTruncatedRetries  = 2
 	truncatedRetrySpread = 20 * millisecond
-	// maxAnswerAge is the time after the beginning of an answer from which what the service sends no longer counts as the
-	// answer to the call: by then it has sent all earlier changes, since it sends a comment each second. Only a truncated
-	// answer is requested again almost at once.
+	// maxAnswerAge is the time after the beginning of an answer from which what the service sends no longer counts as
+	// the answer to the call: by then it has sent all earlier changes, since it sends a comment each second. Only a
+	// truncated answer is requested again almost at once.
 	maxAnswerAge = second
 
 	// A call that this machine could not make is retried soon, since it put no load on the service. If many
--- a/internal/lifecycle/startup/stall.go
+++ b/internal/lifecycle/startup/stall.go
@@ -2,12 +2,12 @@
 
 // Timeouts of reads inside an event.
 const (
-	// Within the answer to a call, the timeout of the next byte is at first the shortest grace period for acting on a watch
-	// event, divided by stallGraceDivisor: the router counts as notified of these events as soon as it calls.
+	// Within the answer to a call, the timeout of the next byte is at first the shortest grace period for acting on a
+	// watch event, divided by stallGraceDivisor: the router counts as notified of these events as soon as it calls.
 	stallGraceDivisor = 3
 
-	// After each call that ended because an event stalled, the timeout is multiplied by stallTimeoutGrowth. The service may
-	// be slow rather than stuck, and the next call gets the same event again.
+	// After each call that ended because an event stalled, the timeout is multiplied by stallTimeoutGrowth. The
+	// service may be slow rather than stuck, and the next call gets the same event again.
 	stallTimeoutGrowth = 4
 
 	// Pauses inside complete events show how slowly the service writes. The timeout is at least stallPauseFactor times
