A request sent again is not unsent because it was withdrawn before

Suspected by the review: postWithdrawn (upstream queue.go) takes a request off the list of withdrawn ones only after it has posted AttemptWithdrawn. If the reducer sends the request again on the same connection and it is written before that, an end of the connection reports it as unsent, and it could run twice.

Whether the reducer ever chooses the same connection for it was not looked at.

Change: sending a request takes it off the list, since its event has been received by then.

--- a/internal/upstream/queue.go
+++ b/internal/upstream/queue.go
@@ -32,10 +32,12 @@
 // isExpired reports whether the item is a fetch that must not be sent any more, because its SendDeadline has passed.
 func (i queueItem) isExpired(now int64) bool { return i.send != nil && now >= i.send.SendDeadline }
 
-// enqueue appends an item to the queue and wakes the writer.
+// enqueue appends an item to the queue and wakes the writer. A request that is sent again is no longer listed as
+// withdrawn: its AttemptWithdrawn has been received, although postWithdrawn may not have noted that yet.
 func (c *connection) enqueue(item queueItem) {
 	c.mu.Lock()
 	c.queue = append(c.queue, item)
+	c.removeWithdrawnLocked(item.requestID())
 	c.mu.Unlock()
 	select {
 	case c.wake <- struct{}{}:
@@ -78,6 +80,11 @@
 	c.pool.post(router.AttemptWithdrawn{Connection: c.id, ID: id})
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.removeWithdrawnLocked(id)
+}
+
+// removeWithdrawnLocked removes an ID from the list of withdrawn requests, if it is there. The caller holds mu.
+func (c *connection) removeWithdrawnLocked(id string) {
 	if at := slices.Index(c.withdrawn, id); at >= 0 {
 		c.withdrawn = slices.Delete(c.withdrawn, at, at+1)
 	}
--- a/internal/upstream/write_test.go
+++ b/internal/upstream/write_test.go
@@ -320,6 +320,29 @@
 	}
 }
 
+// A request may be sent again on the same connection once AttemptWithdrawn is received, before the connection has noted
+// that it is posted. If the second attempt has been written when the connection ends, it must not be listed as unsent
+// because of the first one: it may have run, and would be sent a third time.
+func TestResentRequestIsNotUnsentByItsWithdrawal(t *testing.T) {
+	var p *Pool
+	var c *connection
+	var unsent []string
+	p = NewPool(context.Background(), Config{Post: func(router.Event) {
+		p.Send(requestWithin("a", time.Minute))
+		c.mu.Lock()
+		c.queue = nil // as after the writer has written it
+		c.mu.Unlock()
+		unsent = c.unsent()
+	}})
+	c = newTestConnection(p)
+	p.Send(requestWithin("a", time.Minute))
+	p.WithdrawAttempt(router.WithdrawAttempt{Connection: 1, ID: "a"})
+	p.Wait()
+	if len(unsent) > 0 {
+		t.Errorf("unsent %v after the second attempt was written, want none", unsent)
+	}
+}
+
 // A request queued between the end of its connection and the handling of ConnectionDown must be listed as unsent, or
 // it would count as one that may have run.
 func TestSendAfterConnectionEnded(t *testing.T) {
