A rejecting connection stays so while data waits on it, however late its reader runs

And awaitRequest (read.go) ended the rejection at any passed read deadline: a reader that runs more than 10 ms late finds its deadline passed although data waits, so the request was passed on as if there were memory. It was not lost, but beyond the memory that is kept free.

Change: the rejection ends only once nothing is unread.

--- a/internal/downstream/read.go
+++ b/internal/downstream/read.go
@@ -76,13 +76,13 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return err
 		}
-		c.stopRejecting()
 		if c.isDraining() {
 			return errDraining
 		}
 		if !c.isQuiescent() || c.server.hasUnread(c.conn) {
 			continue
 		}
+		c.stopRejecting()
 		if err := c.idleTimeout(err); err != nil {
 			return err
 		}
