--- a/review/standins-2/wire.go
+++ b/review/standins-2/wire.go
@@ -308,6 +308,7 @@
 	conns    map[net.Conn]bool
 	shared   *journal // the events of another one, which this one tells on
 	retired  bool
+	calls    []time.Time
 }
 
 func startJournal() *journal {
@@ -392,6 +393,9 @@
 			last, _ = strconv.Atoi(strings.TrimSpace(value))
 		}
 	}
+	j.mu.Lock()
+	j.calls = append(j.calls, time.Now())
+	j.mu.Unlock()
 	source := j
 	if j.shared != nil {
 		source = j.shared
