--- a/review/standins-2/memory.go
+++ b/review/standins-2/memory.go
@@ -41,14 +41,14 @@
 
 	// The platform: anonymous and shared memory count, the program's own file does not.
 	var peak atomic.Int64
-	var killedAt atomic.Int64
+	var killed atomic.Bool
 	go func() {
 		for router.running() {
 			used := router.statusKB("RssAnon") + router.statusKB("RssShmem")
 			if int64(used) > peak.Load() {
 				peak.Store(int64(used))
 			}
-			if used > memoryMB<<10 && killedAt.CompareAndSwap(0, time.Now().UnixNano()) {
+			if used > memoryMB<<10 && killed.CompareAndSwap(false, true) {
 				say("the platform: the router has %d KB, its limit is %d KB", used, memoryMB<<10)
 				router.signal(syscall.SIGKILL)
 				return
@@ -110,7 +110,7 @@
 	say("usual clients: %s", stop())
 	say("peak: %d KB of %d KB", peak.Load(), memoryMB<<10)
 	switch {
-	case killedAt.Load() > 0:
+	case killed.Load():
 		broken("the router is over its memory limit of %d MB and is killed (%d KB)", memoryMB, peak.Load())
 	case !router.running():
 		broken("the router has ended")
--- a/review/standins-2/stage.go
+++ b/review/standins-2/stage.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -291,7 +292,7 @@
 
 var (
 	idMu   sync.Mutex
-	lastID = uint64(time.Now().UnixNano())
+	lastID = rand.Uint64()
 )
 
 func newID() string {
--- a/review/standins-2/wire.go
+++ b/review/standins-2/wire.go
@@ -317,21 +317,33 @@
 		cannotRun("listen: %v", err)
 	}
 	j := &journal{listener: listener, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			j.mu.Lock()
-			j.conns[conn] = true
-			j.mu.Unlock()
-			go j.serve(conn)
-		}
-	}()
+	go j.accept(listener)
 	return j
 }
 
+func (j *journal) accept(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		j.mu.Lock()
+		j.conns[conn] = true
+		j.mu.Unlock()
+		go j.serve(conn)
+	}
+}
+
+// listenAgain opens a service that was ended at the same address.
+func (j *journal) listenAgain() {
+	listener, err := net.Listen("tcp", j.address())
+	if err != nil {
+		cannotRun("listen again: %v", err)
+	}
+	j.listener = listener
+	go j.accept(listener)
+}
+
 func (j *journal) address() string { return j.listener.Addr().String() }
 
 // publish adds an event; its text has %d for the number.
@@ -437,5 +449,5 @@
 // served answers a fetch with a copy that the origin gave out just now.
 func served(f fetch, body []byte) {
 	f.conn.answer(f.id, "served", fmt.Sprintf(
-		"entity=4be0c1927d55a6f3,issued=%d,detail=TCP_HIT,use=inflight:1;x1:0.1;x0:0.5", time.Now().UnixMilli()), body)
+		"entity=4be0c1927d55a6f3,issued=%d,detail=TCP_HIT,use=inflight:1;x1:0.1;x0:0.5", stamp(time.Now())), body)
 }
