--- a/review/standins-2/memory.go
+++ b/review/standins-2/memory.go
@@ -17,7 +17,7 @@
 	const (
 		memoryMB       = 48 // the pages: 32 to 192
 		sockets        = 1024
-		badConnections = 300 // with the usual ones under a third of the descriptors
+		badConnections = 330 // with the usual ones under a third of the descriptors
 		atOnce         = 100 // requests that a bad client sends at once
 		bodyBytes      = 240_000
 	)
