Large requests keep their memory reserved until the event loop has them

Cause: the reservation of a large request ended as soon as it was read. The request then waited in its reader, one for each connection, and in the event loop's inbox, counted against no bound.

Change: the reservation is handed over with the request and ends once the event loop has handled it; from then on the bound on bodies in flight counts. The share is 10% of the memory, since it now holds for longer and 20% left the collector too little at 32 MB.

TestLargeRequestsWaitingForTheRouterAreBounded fails with the former release ("i/o timeout; want 15 of 20 requests rejected for want of memory").

--- a/internal/downstream/arrival_test.go
+++ b/internal/downstream/arrival_test.go
@@ -28,12 +28,12 @@
 ) (*Server, chan router.RequestReceived) {
 	t.Helper()
 	requests := make(chan router.RequestReceived, 1000)
-	server := New(listener, config, func(e router.Event) {
+	server := New(listener, config, handling(func(e router.Event) {
 		if r, ok := e.(router.RequestReceived); ok {
 			requests <- r
 			onRequest(r)
 		}
-	}, ignoreEvents)
+	}), ignoreEvents)
 	run(t, server)
 	return server, requests
 }
--- a/internal/downstream/closing.go
+++ b/internal/downstream/closing.go
@@ -38,7 +38,7 @@
 	inFlight := len(c.inFlight) > 0
 	c.mu.Unlock()
 	if inFlight {
-		c.server.post(router.ClientHalfClosed{Client: c.id})
+		c.server.post(router.ClientHalfClosed{Client: c.id}, nil)
 	}
 }
 
--- a/internal/downstream/connection.go
+++ b/internal/downstream/connection.go
@@ -127,7 +127,7 @@
 	switch {
 	case violated:
 		// The client's other requests fail: serving them would take resources from other clients.
-		c.server.post(router.ClientDisconnected{Client: c.id})
+		c.server.post(router.ClientDisconnected{Client: c.id}, nil)
 		c.failRequests()
 	case halfClosed:
 		c.notifyHalfClosed()
@@ -140,7 +140,7 @@
 	c.linger()
 	c.server.unregister(c)
 	c.markClosed()
-	c.server.post(router.ClientDisconnected{Client: c.id})
+	c.server.post(router.ClientDisconnected{Client: c.id}, nil)
 }
 
 // beginEnding starts the phase in which only responses are written, and reports whether the client has
--- a/internal/downstream/eviction_test.go
+++ b/internal/downstream/eviction_test.go
@@ -39,7 +39,7 @@
 func TestEvictionKeepsUpWithNewConnections(t *testing.T) {
 	emitted := 0
 	config := Config{MaxConnections: 50, MaxRequestsPerConnection: 32, MaxBytes: 1 << 20}
-	server := New(listen(t), config, func(router.Event) {}, func(logevent.Event) { emitted++ })
+	server := New(listen(t), config, handling(func(router.Event) {}), func(logevent.Event) { emitted++ })
 	run(t, server)
 	begun, conns := time.Now(), []net.Conn{}
 	for range 1500 {
--- a/internal/downstream/filter_linux_test.go
+++ b/internal/downstream/filter_linux_test.go
@@ -147,7 +147,7 @@
 		config.SystemCalls = failingSystemCalls("connect", unix.EMFILE, func() bool { return true })
 	}
 	var log logRecorder
-	server := New(listener, config, func(router.Event) {}, log.emit)
+	server := New(listener, config, handling(func(router.Event) {}), log.emit)
 	run(t, server)
 	conns := dialIdle(t, server, 3)
 	if name == epollFails {
--- a/internal/downstream/frame.go
+++ b/internal/downstream/frame.go
@@ -42,8 +42,9 @@
 	progressAt time.Time // when data was received last
 	expiresAt  time.Time // when the client stops waiting for a response; the latest possible time until that is known
 
-	buffer   []byte // receives the frame; nil while its length field is read or the rest is discarded
-	received int    // number of bytes in buffer
+	buffer   []byte        // receives the frame; nil while its length field is read or the rest is discarded
+	received int           // number of bytes in buffer
+	memory   requestMemory // reserved for a large frame; to be released by the caller of receive
 
 	message    thrift.Message // header of the message, if identified
 	identified bool
@@ -166,7 +167,7 @@
 	return frame, err
 }
 
-// receiveAccepted reads the whole frame and returns it with its size. Memory for a large frame is acquired only once
+// receiveAccepted reads the whole frame and returns it with its size. Memory for a large frame is reserved only once
 // the start of the frame has been received, so that a client that merely announces large frames takes no memory. If no
 // memory is available, receiveAccepted returns errNoRequestMemory.
 func (f *incomingFrame) receiveAccepted(ctx context.Context) (frame []byte, size int, err error) {
@@ -178,15 +179,15 @@
 	if _, err := io.ReadFull(f, f.buffer); err != nil || size <= maxSmallFrameBytes {
 		return f.buffer, size, err
 	}
-	memory := f.connection.server.memory
-	if !memory.acquireRequest(ctx, size) {
+	var acquired bool
+	f.memory, acquired = f.connection.server.memory.acquireRequest(ctx, size)
+	if !acquired {
 		if ctx.Err() != nil {
 			return nil, size, ctx.Err()
 		}
 		_, parseError := thrift.Parse(f.buffer)
 		return nil, size, cmp.Or(parseError, errNoRequestMemory)
 	}
-	defer memory.releaseRequest(size)
 	f.buffer = append(make([]byte, 0, size), f.buffer...)[:size]
 	_, err = io.ReadFull(f, f.buffer[maxSmallFrameBytes:])
 	return f.buffer, size, err
@@ -222,6 +223,7 @@
 func (f *incomingFrame) discard(size int) error {
 	remaining := size - f.received
 	f.buffer, f.rejected = nil, true
+	f.memory.release()
 	f.expiresAt = time.Now().Add(requestStallTimeout)
 	_, err := io.CopyN(io.Discard, f, int64(remaining))
 	return err
--- a/internal/downstream/helpers_test.go
+++ b/internal/downstream/helpers_test.go
@@ -39,6 +39,16 @@
 
 func ignoreEvents(logevent.Event) {}
 
+// handling returns a PostFunc that passes each event to handle, after which the event counts as handled.
+func handling(handle func(router.Event)) PostFunc {
+	return func(event router.Event, handled func()) {
+		handle(event)
+		if handled != nil {
+			handled()
+		}
+	}
+}
+
 // run starts a server that serves until the end of the test or until stop is called. When the server stops, it
 // checks that no queued bytes, connections or goroutines are left.
 func run(t *testing.T, server *Server) (stop func()) {
@@ -73,9 +83,9 @@
 func startServer(t *testing.T, config Config) (*Server, chan string) {
 	t.Helper()
 	events := make(chan string, 100)
-	server := New(listen(t), config, func(e router.Event) {
+	server := New(listen(t), config, handling(func(e router.Event) {
 		events <- strings.TrimPrefix(fmt.Sprintf("%T", e), "router.")
-	}, ignoreEvents)
+	}), ignoreEvents)
 	run(t, server)
 	return server, events
 }
@@ -85,7 +95,7 @@
 func startServerOn(t *testing.T, listener net.Listener, config Config) (*Server, chan router.Event, func()) {
 	t.Helper()
 	events := make(chan router.Event, 1000)
-	server := New(listener, config, func(e router.Event) { events <- e }, ignoreEvents)
+	server := New(listener, config, handling(func(e router.Event) { events <- e }), ignoreEvents)
 	stop := run(t, server)
 	return server, events, stop
 }
--- a/internal/downstream/memory_test.go
+++ b/internal/downstream/memory_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"io"
+	"net"
 	"slices"
 	"strings"
 	"testing"
@@ -104,3 +106,49 @@
 	expectEvents(t, events, "RequestReceived", "ClientDisconnected")
 	expectFinalResponse(t, conn, duplicateSequenceText)
 }
+
+// Large requests that wait for the router must stay within the memory limit: many clients that send at the same time
+// used to take the process over its memory limit, because the reservation of a request ended as soon as it was read.
+func TestLargeRequestsWaitingForTheRouterAreBounded(t *testing.T) {
+	const connections, size = 20, 100 << 10
+	config := smallConfig
+	config.MaxConnections, config.MaxBytes = connections, 512<<10
+	waiting := make(chan func(), connections)
+	server := New(listen(t), config, func(event router.Event, handled func()) {
+		if _, ok := event.(router.RequestReceived); ok {
+			waiting <- handled
+		}
+	}, ignoreEvents)
+	run(t, server)
+	conns, rejected := make([]net.Conn, connections), make(chan error, connections)
+	for i := range conns {
+		conns[i] = dial(t, server)
+		send(t, conns[i], call(1, size))
+		go func() { rejected <- readRejection(conns[i]) }()
+	}
+	maxWaiting := int(config.MaxBytes) / size
+	for range connections - maxWaiting {
+		if err := <-rejected; err != nil {
+			t.Fatalf("%v; want %d of %d requests rejected for want of memory", err, connections-maxWaiting, connections)
+		}
+	}
+	if got := len(waiting); got != maxWaiting {
+		t.Errorf("%d requests of %d bytes wait for the router, want %d within %d bytes",
+			got, size, maxWaiting, config.MaxBytes)
+	}
+	for range maxWaiting {
+		(<-waiting)()
+	}
+	if !server.memory.requests.TryAcquire(config.MaxBytes) {
+		t.Error("memory is still reserved although all requests have been handled")
+	}
+}
+
+// readRejection returns nil if the next response on a connection rejects request 1.
+func readRejection(conn net.Conn) error {
+	response, err := readResponse(conn)
+	if err == nil && !strings.Contains(response, rejectionOf(1)) {
+		err = fmt.Errorf("response %q, want a rejection", response)
+	}
+	return err
+}
--- a/internal/downstream/read.go
+++ b/internal/downstream/read.go
@@ -144,7 +144,9 @@
 // readRequest reads a frame and handles its message. arrivedAt is the earliest time, in ns, at which its first
 // byte can have arrived.
 func (c *connection) readRequest(ctx context.Context, in *bufio.Reader, arrivedAt int64) error {
-	frame, err := c.newIncomingFrame(in, arrivedAt).receive(ctx)
+	incoming := c.newIncomingFrame(in, arrivedAt)
+	defer incoming.memory.release()
+	frame, err := incoming.receive(ctx)
 	if err != nil || frame == nil {
 		return err
 	}
@@ -152,7 +154,7 @@
 	if err != nil {
 		return err
 	}
-	if !c.handleMessage(message, arrivedAt) {
+	if !c.handleMessage(message, arrivedAt, &incoming.memory) {
 		return c.rejectBuffered(in)
 	}
 	return nil
@@ -160,8 +162,8 @@
 
 // handleMessage handles a message. It returns false if the message is too late because the connection is
 // draining. A message that violates the protocol is answered with an exception, and nothing more is read from
-// the client.
-func (c *connection) handleMessage(message thrift.Message, arrivedAt int64) bool {
+// the client. memory is what is reserved for the message: it is handed over with a request that is posted.
+func (c *connection) handleMessage(message thrift.Message, arrivedAt int64, memory *requestMemory) bool {
 	if c.isDraining() {
 		if isRequest(message) {
 			c.send(rejection(message.Seq))
@@ -176,7 +178,7 @@
 	switch {
 	case message.Name == methodCancel:
 		if err == nil && arguments.Has[thrift.FirstArgument] && c.removeRequest(arguments.CancelSeq) {
-			c.server.post(router.RequestCancelled{Client: c.id, Seq: arguments.CancelSeq})
+			c.server.post(router.RequestCancelled{Client: c.id, Seq: arguments.CancelSeq}, nil)
 		}
 	case message.Type == thrift.Oneway: // unknown one-way message: ignored, as it has no response
 	case message.Name != methodCall && message.Name != methodHealth:
@@ -187,21 +189,23 @@
 	case message.Name == methodHealth:
 		c.send(thrift.Response{Method: methodHealth, Seq: message.Seq, Good: c.server.ready.Load()})
 	default:
-		return c.handleCall(message, arguments, arrivedAt)
+		return c.handleCall(message, arguments, arrivedAt, memory)
 	}
 	return true
 }
 
 // handleCall puts a request in flight and posts it, or rejects it. It returns false if the connection is
 // draining.
-func (c *connection) handleCall(message thrift.Message, arguments thrift.Arguments, arrivedAt int64) bool {
+func (c *connection) handleCall(
+	message thrift.Message, arguments thrift.Arguments, arrivedAt int64, memory *requestMemory,
+) bool {
 	if c.mustReject() {
 		c.send(rejection(message.Seq))
 		return true
 	}
 	switch c.addRequest(message.Seq) {
 	case requestAdmitted:
-		c.server.post(requestReceived(c.id, message.Seq, arrivedAt, arguments))
+		c.server.post(requestReceived(c.id, message.Seq, arrivedAt, arguments), memory.handOver())
 	case requestDuplicate:
 		c.sendException(message, thrift.BadSequence, duplicateSequenceText)
 	case requestExcess:
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -1,6 +1,7 @@
 package downstream
 
 import (
+	"cmp"
 	"math"
 	"net"
 	"sync"
@@ -21,7 +22,8 @@
 type Config struct {
 	MaxConnections           int
 	MaxRequestsPerConnection int                 // maximum number of requests in flight on one connection
-	MaxBytes                 int64               // bytes for large requests and, separately, for unwritten responses
+	MaxBytes                 int64               // bytes for unwritten responses
+	MaxRequestBytes          int64               // bytes for large requests until the router has them; 0: MaxBytes
 	MaxRequestTime           time.Duration       // longest time for which a client waits for a response; 0: 2 s
 	MaxResumeWait            time.Duration       // longest time that received data may wait for memory; 0: 0.2 s
 	FreeMemory               func() int64        // bytes that the process may still allocate; nil: enough
@@ -41,6 +43,7 @@
 	if c.FreeMemory == nil {
 		c.FreeMemory = func() int64 { return math.MaxInt64 }
 	}
+	c.MaxRequestBytes = cmp.Or(c.MaxRequestBytes, c.MaxBytes)
 	if c.MaxRequestTime <= 0 {
 		c.MaxRequestTime = requestStallTimeout
 	}
@@ -59,11 +62,15 @@
 	return c
 }
 
+// PostFunc passes an event to the router, and may wait until the router can take it. Once the router has handled the
+// event, or is known never to handle it, handled is called, unless it is nil.
+type PostFunc func(event router.Event, handled func())
+
 // Server accepts the client connections of one listener, posts their requests to the router and writes its responses.
 type Server struct {
 	listener     net.Listener
 	config       Config
-	post         func(router.Event)
+	post         PostFunc
 	emit         func(logevent.Event)
 	ready        atomic.Bool // the answer to health requests is "healthy"
 	pacer        *idle.AcceptPacer
@@ -95,7 +102,7 @@
 // New returns a server for a listener. The server passes the events of clients to post, which may block, and
 // log events to emit.
 func New(
-	listener net.Listener, config Config, post func(router.Event), emit func(logevent.Event),
+	listener net.Listener, config Config, post PostFunc, emit func(logevent.Event),
 ) *Server {
 	config = config.withDefaults()
 	return &Server{
@@ -109,7 +116,7 @@
 			ReservedBytes: config.MaxBytes,
 			MaxWait:       int64(config.MaxResumeWait),
 		},
-		memory:      newMemoryLimits(config.MaxBytes, emit),
+		memory:      newMemoryLimits(config, emit),
 		idle:        newIdleConnections(config, emit),
 		connections: map[router.ClientID]*connection{},
 	}
--- a/internal/downstream/shed_test.go
+++ b/internal/downstream/shed_test.go
@@ -137,7 +137,7 @@
 	}
 	config := configWithIdleTimeout(4096, time.Hour)
 	config.MaxBytes = 6 << 20 // the share of 32 MB
-	server := New(listener, config, func(router.Event) {}, ignoreEvents)
+	server := New(listener, config, handling(func(router.Event) {}), ignoreEvents)
 	ctx, cancel := context.WithCancel(b.Context())
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(ctx) }()
--- a/internal/server/limits.go
+++ b/internal/server/limits.go
@@ -20,10 +20,12 @@
 	// collectorMemoryShare sets the Go runtime's soft memory limit, near which the garbage collector runs more often.
 	collectorMemoryShare = 0.7
 
-	// responseMemoryShare limits the memory of responses that wait for slow clients. The same limit applies
-	// separately to the memory of large requests that are being read.
+	// responseMemoryShare limits the memory of responses that wait for slow clients.
 	responseMemoryShare = 0.2
 
+	// requestMemoryShare limits the memory of large requests that are being read or wait for the event loop.
+	requestMemoryShare = 0.1
+
 	// bodyMemoryShare limits the memory of the bodies of requests in flight.
 	bodyMemoryShare = 0.1
 )
--- a/internal/server/loop.go
+++ b/internal/server/loop.go
@@ -36,6 +36,7 @@
 				continue
 			}
 			l.receive(posted)
+			posted.finish()
 		case <-l.reducerTimer.C:
 			l.advance()
 		case <-l.server.snapshots.due():
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -50,8 +50,16 @@
 
 // postedEvent is an event for the event loop with the time at which it was posted.
 type postedEvent struct {
-	at    int64 // when the event was posted, ns of the server's clock
-	event router.Event
+	at      int64 // when the event was posted, ns of the server's clock
+	event   router.Event
+	handled func() // called once the event has been handled; nil: nobody waits for that
+}
+
+// finish tells the poster that the event has been handled.
+func (p postedEvent) finish() {
+	if p.handled != nil {
+		p.handled()
+	}
 }
 
 // Option sets an optional property of a server that New creates.
@@ -101,8 +109,9 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	group, ctx := errgroup.WithContext(ctx)
-	post := s.poster(ctx)
-	if err := s.start(ctx, group, listener, post, shutdownRequested); err != nil {
+	postWithCallback := s.poster(ctx)
+	post := func(event router.Event) { postWithCallback(event, nil) }
+	if err := s.start(ctx, group, listener, postWithCallback, shutdownRequested); err != nil {
 		discard(listener)
 		return err
 	}
--- a/internal/server/start.go
+++ b/internal/server/start.go
@@ -16,11 +16,13 @@
 
 // poster returns a function that posts an event to the event loop with the current time. The function waits while the
 // inbox is full, until ctx ends.
-func (s *Server) poster(ctx context.Context) func(router.Event) {
-	return func(event router.Event) {
+func (s *Server) poster(ctx context.Context) downstream.PostFunc {
+	return func(event router.Event, handled func()) {
+		posted := postedEvent{at: s.clock.Now(), event: event, handled: handled}
 		select {
-		case s.inbox <- postedEvent{s.clock.Now(), event}:
+		case s.inbox <- posted:
 		case <-ctx.Done():
+			posted.finish()
 		}
 	}
 }
@@ -29,7 +31,7 @@
 // cluster's loop must not wait for the event loop, and the next probe has a newer result.
 func (s *Server) tryPost(event router.Event) {
 	select {
-	case s.inbox <- postedEvent{s.clock.Now(), event}:
+	case s.inbox <- postedEvent{at: s.clock.Now(), event: event}:
 	default:
 	}
 }
@@ -37,10 +39,10 @@
 // start creates the pool of connections to endpoints and the server of clients' connections. In the group it starts
 // the connections to other instances and the admin socket, if the operator's file configures them.
 func (s *Server) start(
-	ctx context.Context, group *errgroup.Group, listener net.Listener, post func(router.Event),
+	ctx context.Context, group *errgroup.Group, listener net.Listener, post downstream.PostFunc,
 	shutdownRequested <-chan struct{},
 ) error {
-	s.startUpstream(ctx, post)
+	s.startUpstream(ctx, func(event router.Event) { post(event, nil) })
 	s.startDownstream(listener, post)
 	if s.operator == nil {
 		return nil
@@ -68,13 +70,14 @@
 }
 
 // startDownstream creates the server of clients' connections. Run starts it.
-func (s *Server) startDownstream(listener net.Listener, post func(router.Event)) {
+func (s *Server) startDownstream(listener net.Listener, post downstream.PostFunc) {
 	connections, policies := s.clientConnections()
 	config := downstream.Config{
 		MaxConnections:           connections,
 		Policies:                 policies,
 		MaxRequestsPerConnection: maxOpenRequestsPerClient,
 		MaxBytes:                 int64(s.memoryBytes(responseMemoryShare)),
+		MaxRequestBytes:          int64(s.memoryBytes(requestMemoryShare)),
 		MaxRequestTime:           s.longestDeadline(),
 		MaxResumeWait:            s.maxResumeWait(),
 		FreeMemory:               newMemoryGauge(int64(s.memoryBytes(collectorMemoryShare))).free,
