Readers of clients that never pause yield, so that others are answered in time

Callers got answers after 1.2 to 3.6 s of 1.2 allowed, or none, while 300 other clients sent large requests at full speed; one client alone put others back by 80 to 120 ms.

Cause: a reader that always has data ran for the scheduler's whole time slice at each turn, and the goroutine that resumes suspended connections yielded after each one (traces: 35 to 65 ms between two, data 4 s old).

Change: readers yield after each message and each part of a long one; the resuming goroutine after 2 ms of work; data that waited for twice MaxResumeWait is rejected also without a place among maxShedding.

--- /dev/null
+++ b/cmd/tealpath/badclients_test.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"tealpath/internal/testkit"
+)
+
+// The tests of this file send requests of usual clients to a router in a separate process, beside clients that do what
+// no usual client does.
+
+const (
+	// badClientsDuration is how long the bad clients of a test go on.
+	badClientsDuration = 2 * time.Second
+
+	// badClientsMemoryMB is the router's memory limit, the lowest that the platform sets.
+	badClientsMemoryMB = 32
+
+	// memorySampleInterval is the time between two readings of a router's memory.
+	memorySampleInterval = 5 * time.Millisecond
+)
+
+// badClient uses one connection after another until it is told to stop. It is called with a new connection, whose
+// responses are read and dropped, and returns when it is done with it.
+type badClient func(conn net.Conn, running func() bool)
+
+// runBadClients runs count clients side by side for badClientsDuration.
+func runBadClients(address string, count int, behave badClient) {
+	end := time.Now().Add(badClientsDuration)
+	running := func() bool { return time.Now().Before(end) }
+	var clients sync.WaitGroup
+	for range count {
+		clients.Go(func() {
+			for running() {
+				runBadConnection(address, behave, running)
+			}
+		})
+	}
+	clients.Wait()
+}
+
+// runBadConnection opens one connection of a bad client and closes it once the client is done with it.
+func runBadConnection(address string, behave badClient, running func() bool) {
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		time.Sleep(memorySampleInterval)
+		return
+	}
+	defer testkit.Close(conn)
+	go func() { _, _ = io.Copy(io.Discard, conn) }()
+	behave(conn, running)
+}
+
+// sequenceOffset is the position of the sequence number in the frame of a call.
+const sequenceOffset = 16
+
+// repeatCall returns a bad client that writes one call after another at full speed. All have the given body and additional
+// fields, and an ID of their own.
+func repeatCall(body string, additional ...string) badClient {
+	return func(conn net.Conn, running func() bool) {
+		frame := testkit.NewClient(nil, conn).CallFrame(testkit.ObjectID(1), clientTimeout, body, additional...)
+		idOffset := bytes.Index(frame, []byte("txn")) + len("txn") + 4
+		for sequence := uint32(1); running(); sequence++ {
+			binary.BigEndian.PutUint32(frame[sequenceOffset:], sequence)
+			copy(frame[idOffset:], fmt.Sprintf("%016x", rand.Uint64()))
+			if _, err := conn.Write(frame); err != nil {
+				return
+			}
+			runtime.Gosched() // the usual client and the caches are in this process, too
+		}
+	}
+}
+
+// memoryWatch records the largest amount of memory that counts against a process's limit.
+type memoryWatch struct {
+	stopped chan struct{}
+	peakKB  chan int
+}
+
+// watchMemory starts to watch the memory of a process.
+func watchMemory(pid int) memoryWatch {
+	watch := memoryWatch{stopped: make(chan struct{}), peakKB: make(chan int, 1)}
+	go func() {
+		peak := 0
+		for {
+			peak = max(peak, limitedMemoryKB(pid))
+			select {
+			case <-watch.stopped:
+				watch.peakKB <- peak
+				return
+			case <-time.After(memorySampleInterval):
+			}
+		}
+	}()
+	return watch
+}
+
+// stop ends the watch and returns the peak in KB.
+func (w memoryWatch) stop() int {
+	close(w.stopped)
+	return <-w.peakKB
+}
+
+// limitedMemoryKB returns the anonymous and shared memory of a process in KB. The program's file does not count against
+// the limit.
+func limitedMemoryKB(pid int) (total int) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.SplitSeq(string(status), "\n") {
+		name, value, _ := strings.Cut(line, ":")
+		if name != "RssAnon" && name != "RssShmem" {
+			continue
+		}
+		if kilobytes, err := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(value), " kB")); err == nil {
+			total += kilobytes
+		}
+	}
+	return total
+}
+
+// usualClientResult is how the requests of a usual client ended.
+type usualClientResult struct {
+	answered   int
+	unanswered int
+	worst      time.Duration // longest time from a request to its response
+}
+
+// runUsualClient sends one request after another on one connection until stopped is closed.
+func runUsualClient(t *testing.T, address string, stopped <-chan struct{}) (result usualClientResult) {
+	client := testkit.Dial(t, address)
+	for n := 0; ; n++ {
+		select {
+		case <-stopped:
+			return result
+		case <-time.After(10 * time.Millisecond):
+		}
+		begun := time.Now()
+		sequence := client.Call(testkit.ObjectID(n%20), clientTimeout)
+		got, _ := client.Next()
+		result.worst = max(result.worst, time.Since(begun))
+		if got != sequence {
+			result.unanswered++
+			return result
+		}
+		result.answered++
+	}
+}
+
+// Requests of usual clients must be answered in time, and the router must stay within its memory, whatever other clients
+// do.
+func TestUsualClientsBesideBadClients(t *testing.T) {
+	largeBody := strings.Repeat("x", 240_000)
+	for _, test := range []struct {
+		name    string
+		clients int
+		behave  badClient
+	}{
+		// A reader that always has data used to run for a whole time slice of the scheduler, at each of its turns.
+		{"large requests at full speed", 300, repeatCall(largeBody)},
+	} {
+		t.Run(test.name, func(t *testing.T) { testBadClients(t, test.clients, test.behave) })
+	}
+}
+
+// testBadClients checks the responses to a usual client, and the router's memory, beside some bad clients.
+func testBadClients(t *testing.T, clients int, behave badClient) {
+	memory := fmt.Sprintf(`"memory_mb":%d`, badClientsMemoryMB)
+	router, _, _ := newTestCell(t, clientTimeout.Seconds(), `"memory_mb":192`, memory)
+	process := router.spawnHealthy(t)
+	stalls := testkit.WatchProcessStalls(process.PID())
+	watch := watchMemory(process.PID())
+	stopped, results := make(chan struct{}), make(chan usualClientResult, 1)
+	go func() { results <- runUsualClient(t, router.address, stopped) }()
+	runBadClients(router.address, clients, behave)
+	close(stopped)
+	result, peak := <-results, watch.stop()
+	allowed := clientTimeout + maxLateness + stalls.Total()
+	stalls.Stop()
+	if result.unanswered > 0 || result.answered == 0 || result.worst > allowed {
+		t.Errorf("%d requests answered, %d not; the slowest after %v, want all within %v",
+			result.answered, result.unanswered, result.worst, allowed)
+	}
+	if peak > badClientsMemoryMB<<10 {
+		t.Errorf("memory of %d KB, want at most %d KB", peak, badClientsMemoryMB<<10)
+	}
+	t.Logf("%d requests answered, the slowest after %v; peak memory %d KB", result.answered, result.worst, peak)
+}
--- a/internal/downstream/frame.go
+++ b/internal/downstream/frame.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"os"
+	"runtime"
 	"time"
 
 	"tealpath/internal/protocol/thrift"
@@ -81,6 +82,7 @@
 		if count > 0 {
 			f.received += count
 			f.progressAt = time.Now()
+			runtime.Gosched() // see readRequests
 		}
 		if count > 0 || err != nil {
 			return count, err
--- a/internal/downstream/read.go
+++ b/internal/downstream/read.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"os"
+	"runtime"
 	"strconv"
 	"time"
 
@@ -43,6 +44,10 @@
 
 // readRequests reads requests until the connection fails, becomes idle or draining, or receives data that
 // cannot be parsed. It returns the reason.
+//
+// The reader yields the processor after each message and each part of a long one. A client that sends at full speed always
+// has unread data, so its reader never blocks: without yielding, it would run for the scheduler's whole time slice of about
+// 10 ms, and a few hundred such clients would keep all others waiting for seconds.
 func (c *connection) readRequests(ctx context.Context) error {
 	in := bufio.NewReaderSize(neterr.Reader{From: &c.arrivals}, maxSmallFrameBytes)
 	for {
@@ -58,6 +63,7 @@
 			return err
 		}
 		c.setReading(in.Buffered() > 0)
+		runtime.Gosched()
 	}
 }
 
--- a/internal/downstream/shed.go
+++ b/internal/downstream/shed.go
@@ -10,6 +10,10 @@
 // buffers are beyond the memory that is kept free, and each is active for about rejectingSuspendDelay.
 const maxShedding = 64
 
+// maxSheddingWaits is how long received data may wait for a place among maxShedding, as a multiple of MaxResumeWait,
+// counted from its arrival. After that, its requests are rejected all the same.
+const maxSheddingWaits = 2
+
 // resumeDecision returns what to do with a suspended connection on which data has waited for the given time, in ns.
 func (s *Server) resumeDecision(waited int64) idle.ResumeDecision {
 	return s.resumeLimits.Decide(s.activeConnections(), s.config.FreeMemory(), waited)
--- a/internal/downstream/wake.go
+++ b/internal/downstream/wake.go
@@ -14,6 +14,10 @@
 // connection expires, but one that is added during the pause may expire earlier.
 const maxMaintenanceInterval = 100 * time.Millisecond
 
+// resumeBatchDuration is how long the waker resumes connections before it yields the processor. Beside many clients that
+// send at full speed, it takes some tens of milliseconds until the waker runs again.
+const resumeBatchDuration = 2 * time.Millisecond
+
 // maintain resumes suspended connections, and closes expired ones at the rate that the table allows, until the
 // context ends.
 func (s *Server) maintain(ctx context.Context) {
@@ -197,6 +201,7 @@
 
 // resumeWithData resumes connections that have received data, and returns false if the context ends.
 func (w *waker) resumeWithData(ctx context.Context, wakes []wakeUp) bool {
+	batchBegan := time.Now()
 	for _, wake := range wakes {
 		rejecting, ok := w.awaitTurn(ctx, wake.since)
 		if !ok {
@@ -205,7 +210,10 @@
 		wake.rejecting = rejecting
 		w.server.resume(ctx, wake)
 		w.server.idle.waiting.Add(-1)
-		runtime.Gosched() // requests that are being served go first, also where no rate limits the resuming
+		if time.Since(batchBegan) >= resumeBatchDuration {
+			runtime.Gosched() // requests that are being served go first, also where no rate limits the resuming
+			batchBegan = time.Now()
+		}
 	}
 	return true
 }
@@ -240,11 +248,13 @@
 		}
 	}
 	for {
-		switch w.server.resumeDecision(int64(time.Since(since))) {
+		waited := time.Since(since)
+		switch w.server.resumeDecision(int64(waited)) {
 		case idle.Resume:
 			return false, true
 		case idle.ResumeAndReject:
-			if w.server.shedding.Load() < maxShedding {
+			// Clients that never stop sending keep their place among maxShedding for good.
+			if w.server.shedding.Load() < maxShedding || waited >= maxSheddingWaits*config.MaxResumeWait {
 				return true, true
 			}
 		}
