The fields of a call are bounded: 64 of them, in 4 KB

Callers lost their requests: 330 clients whose requests held 25,000 short fields each took the process to 120 MB of 48.

Cause: fields were decoded into a map whatever their number, where a short one takes several times its size.

Change: the parser stops at 64 entries or 4 KB; a call has about ten fields.

--- a/cmd/tealpath/badclients_test.go
+++ b/cmd/tealpath/badclients_test.go
@@ -69,9 +69,10 @@
 // repeatCall returns a bad client that writes one call after another at full speed. All have the given body and additional
 // fields, and an ID of their own.
 func repeatCall(body string, additional ...string) badClient {
+	template := testkit.NewClient(nil, nil).CallFrame(testkit.ObjectID(1), clientTimeout, body, additional...)
+	idOffset := bytes.Index(template, []byte("txn")) + len("txn") + 4
 	return func(conn net.Conn, running func() bool) {
-		frame := testkit.NewClient(nil, conn).CallFrame(testkit.ObjectID(1), clientTimeout, body, additional...)
-		idOffset := bytes.Index(frame, []byte("txn")) + len("txn") + 4
+		frame := bytes.Clone(template)
 		for sequence := uint32(1); running(); sequence++ {
 			binary.BigEndian.PutUint32(frame[sequenceOffset:], sequence)
 			copy(frame[idOffset:], fmt.Sprintf("%016x", rand.Uint64()))
@@ -171,11 +172,21 @@
 	}{
 		// A reader that always has data used to run for a whole time slice of the scheduler, at each of its turns.
 		{"large requests at full speed", 300, repeatCall(largeBody)},
+		// Decoded, the fields took over ten times the size of their request.
+		{"requests with very many short fields", 300, repeatCall("", shortFields(20_000)...)},
 	} {
 		t.Run(test.name, func(t *testing.T) { testBadClients(t, test.clients, test.behave) })
 	}
 }
 
+// shortFields returns names and values of count fields whose values are empty.
+func shortFields(count int) (fields []string) {
+	for n := range count {
+		fields = append(fields, strconv.FormatInt(int64(n), 36), "")
+	}
+	return fields
+}
+
 // testBadClients checks the responses to a usual client, and the router's memory, beside some bad clients.
 func testBadClients(t *testing.T, clients int, behave badClient) {
 	memory := fmt.Sprintf(`"memory_mb":%d`, badClientsMemoryMB)
--- a/internal/protocol/thrift/reader.go
+++ b/internal/protocol/thrift/reader.go
@@ -52,20 +52,29 @@
 	return r.take(r.count())
 }
 
-// stringMap reads a map from strings to strings. It sets err if the keys or values are of another type, or if the
-// frame is too short for the number of entries.
+// stringMap reads a map from strings to strings. It sets err if the keys or values are of another type, if the frame is
+// too short for the number of entries, or if the map is larger than maxMapEntries and maxMapSize allow.
 func (r *reader) stringMap() map[string]string {
 	keyType, valueType := r.byte(), r.byte()
 	count := r.count()
 	fits := count >= 0 && count <= len(r.in)/minMapEntrySize
 	hasStrings := keyType == typeString && valueType == typeString
-	if r.err == nil && (!fits || count > 0 && !hasStrings) {
+	switch {
+	case r.err != nil:
+	case !fits, count > 0 && !hasStrings:
 		r.err = ErrInvalidMap
+	case count > maxMapEntries:
+		r.err = ErrMapTooLarge
 	}
 	entries := map[string]string{}
+	remaining := maxMapSize
 	for range count {
 		key := r.bytes()
 		value := r.bytes()
+		remaining -= minMapEntrySize + len(key) + len(value)
+		if r.err == nil && remaining < 0 {
+			r.err = ErrMapTooLarge
+		}
 		if r.err != nil {
 			return nil
 		}
--- a/internal/protocol/thrift/thrift.go
+++ b/internal/protocol/thrift/thrift.go
@@ -57,6 +57,13 @@
 
 	// minMapEntrySize is the size in bytes of a map entry of two empty strings: their two lengths.
 	minMapEntrySize = 8
+
+	// maxMapEntries is the maximum number of entries of a decoded map. A call has about ten fields. Decoded, a short
+	// entry takes several times its size in the frame.
+	maxMapEntries = 64
+
+	// maxMapSize is the maximum encoded size of the entries of a decoded map, in bytes.
+	maxMapSize = 4096
 )
 
 var (
@@ -70,6 +77,8 @@
 	ErrTrailingBytes = errors.New("thrift: bytes behind the arguments")
 	// ErrInvalidMap is returned for a map whose keys or values are not strings, or whose size does not fit the frame.
 	ErrInvalidMap = errors.New("thrift: bad map")
+	// ErrMapTooLarge is returned for a map with more than 64 entries, or with entries of more than 4096 bytes.
+	ErrMapTooLarge = errors.New("thrift: map too large")
 	// ErrTooDeep is returned for an unknown field whose values are nested more than maxSkipDepth levels deep.
 	ErrTooDeep = errors.New("thrift: nested too deeply")
 )
--- a/internal/protocol/thrift/thrift_test.go
+++ b/internal/protocol/thrift/thrift_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"io"
+	"strconv"
 	"strings"
 	"testing"
 )
@@ -58,6 +59,21 @@
 	}
 }
 
+// shortFields returns the encoded fields of a call that has count of them.
+func shortFields(count int) string {
+	encoded := "\x0d\x00\x01\x0b\x0b" + string(binary.BigEndian.AppendUint32(nil, uint32(count)))
+	encoded += text("verb") + text("stills")
+	for n := range count - 1 {
+		encoded += text(strconv.Itoa(n)) + text("")
+	}
+	return encoded
+}
+
+// longField returns the encoded fields of a call that has one, with a value of size bytes.
+func longField(size int) string {
+	return "\x0d\x00\x01\x0b\x0b\x00\x00\x00\x01" + text("verb") + text(strings.Repeat("x", size))
+}
+
 func TestParseArguments(t *testing.T) {
 	fields := "\x0d\x00\x01\x0b\x0b\x00\x00\x00\x01" + text("verb") + text("stills")
 	nested := strings.Repeat("\x0c\x00\x09", 40)
@@ -80,6 +96,9 @@
 		{"a string longer than the rest", fields + "\x0b\x00\x02\x00\x00\x00\x09b\x00", "", "cut short"},
 		{"a map of negative size", "\x0d\x00\x01\x0b\x0b\xff\xff\xff\xff\x00", "", "bad map"},
 		{"a map larger than the rest", "\x0d\x00\x01\x0b\x0b\x00\x0f\xff\xff\x00", "", "bad map"},
+		{"the most entries allowed", shortFields(64) + "\x0b\x00\x02" + text("b\x00y") + "\x00", "b\x00y", ""},
+		{"too many entries", shortFields(65) + "\x00", "", "map too large"},
+		{"a value that is too long", longField(4096) + "\x00", "", "map too large"},
 		{"a map of numbers", "\x0d\x00\x01\x08\x08\x00\x00\x00\x01\x00\x00\x00\x01\x00\x00\x00\x01\x00", "", "bad map"},
 		{"an unknown type", "\x63\x00\x01\x00", "", "unknown type"},
 		{"nested too deeply", nested, "", "too deeply"},
