A request in flight keeps no more memory than is counted for it

Callers got late answers, and the process went to 79 to 93 MB of 48, while 330 clients had requests with small bodies in large frames, or with very long numbers or keys, in flight.

Cause: a body shares its frame's memory, but only its length counts against the bound on bodies; texts of numbers and keys had no limit.

Change: a body of less than half of its request is copied. Numbers have 20 bytes at most, idempotency keys 256.

TestSmallBodyDoesNotKeepItsFrame fails without the change (200,018 bytes kept for a body of 10), as do the two new cases of TestUnusableFieldsAreBadRequests.

--- a/cmd/tealpath/badclients_test.go
+++ b/cmd/tealpath/badclients_test.go
@@ -84,6 +84,31 @@
 	}
 }
 
+// fillConnection returns a bad client that puts as many calls in flight as one connection may have, and keeps them there.
+// Each call has a body of one byte and an unknown argument of the given size. No cache responds to it.
+func fillConnection(unknownBytes int) badClient {
+	return func(conn net.Conn, running func() bool) {
+		client := testkit.NewClient(nil, conn)
+		for range 32 {
+			frame := client.CallFrame(unanswered, clientTimeout, "x", "txn", fmt.Sprintf("%016x", rand.Uint64()))
+			testkit.Write(conn, appendUnknownArgument(frame, unknownBytes))
+		}
+		for waited := time.Duration(0); running() && waited < clientTimeout; waited += memorySampleInterval {
+			time.Sleep(memorySampleInterval)
+		}
+	}
+}
+
+// appendUnknownArgument adds an argument of size bytes, which the router does not know, to the frame of a call.
+func appendUnknownArgument(frame []byte, size int) []byte {
+	const stopByte, unknownArgument = 1, "\x0b\x00\x09"
+	frame = append(frame[:len(frame)-stopByte], unknownArgument...)
+	frame = binary.BigEndian.AppendUint32(frame, uint32(size))
+	frame = append(frame, make([]byte, size+stopByte)...)
+	binary.BigEndian.PutUint32(frame, uint32(len(frame)-4))
+	return frame
+}
+
 // memoryWatch records the largest amount of memory that counts against a process's limit.
 type memoryWatch struct {
 	stopped chan struct{}
@@ -174,6 +199,8 @@
 		{"large requests at full speed", 300, repeatCall(largeBody)},
 		// Decoded, the fields took over ten times the size of their request.
 		{"requests with very many short fields", 300, repeatCall("", shortFields(20_000)...)},
+		// A body of one byte used to keep its whole request in memory, and only the byte was counted.
+		{"small bodies in large requests", 100, fillConnection(240_000)},
 	} {
 		t.Run(test.name, func(t *testing.T) { testBadClients(t, test.clients, test.behave) })
 	}
--- a/internal/downstream/memory_test.go
+++ b/internal/downstream/memory_test.go
@@ -152,3 +152,25 @@
 	}
 	return err
 }
+
+// A small body must not keep the rest of its request in memory: the router counts only the body against its limit.
+func TestSmallBodyDoesNotKeepItsFrame(t *testing.T) {
+	server, events, _ := startServerOn(t, listen(t), smallConfig)
+	for _, test := range []struct{ bodyBytes, unknownBytes int }{{10, 0}, {10, 200_000}, {1000, 3000}, {100_000, 0}} {
+		send(t, dial(t, server), appendUnknownArgument(timedCall(1, time.Second, test.bodyBytes), test.unknownBytes))
+		body := (<-events).(router.RequestReceived).Request.Body
+		if allowed := 2*test.bodyBytes + maxHeaderBytes; len(body) != test.bodyBytes || cap(body) > allowed {
+			t.Errorf("body of %d bytes with an unknown argument of %d: body of %d bytes, %d kept, want at most %d",
+				test.bodyBytes, test.unknownBytes, len(body), cap(body), allowed)
+		}
+	}
+}
+
+// appendUnknownArgument adds an argument of size bytes, which the server does not know, to the frame of a call.
+func appendUnknownArgument(frame []byte, size int) []byte {
+	frame = append(frame[:len(frame)-1], "\x0b\x00\x09"...) // without the stop byte of the arguments
+	frame = binary.BigEndian.AppendUint32(frame, uint32(size))
+	frame = append(frame, make([]byte, size+1)...)
+	binary.BigEndian.PutUint32(frame, uint32(len(frame)-frameLengthBytes))
+	return frame
+}
--- a/internal/downstream/read.go
+++ b/internal/downstream/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -211,6 +212,7 @@
 	}
 	switch c.addRequest(message.Seq) {
 	case requestAdmitted:
+		arguments.Body = detachBody(arguments.Body, len(message.Body))
 		c.server.post(requestReceived(c.id, message.Seq, arrivedAt, arguments), memory.handOver())
 	case requestDuplicate:
 		c.sendException(message, thrift.BadSequence, duplicateSequenceText)
@@ -223,6 +225,16 @@
 	return true
 }
 
+// detachBody returns the body of a call whose arguments have the given size in bytes. The body shares the memory of the
+// call's frame. If that is mostly taken by other data, such as unknown arguments, the body is copied, so that the frame does
+// not stay in memory with it.
+func detachBody(body []byte, argumentBytes int) []byte {
+	if 2*len(body) >= argumentBytes {
+		return body
+	}
+	return bytes.Clone(body)
+}
+
 // requestReceived decodes a call's arguments and returns the event to post. Arguments that cannot be decoded are
 // reported in the event's DecodeError.
 func requestReceived(
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -30,6 +30,10 @@
 	maxBodyBytes   = 240_000 // limit on a request's body, which may be as long as an object
 	retryIndicator = "1"     // value of fieldIsRetry in a retry by the client
 
+	// Limits on the texts that are kept while a request is in flight, in bytes.
+	maxNumberBytes         = 20
+	maxIdempotencyKeyBytes = 256
+
 	// keyDelimiters are the characters that an idempotency key must not contain. The key is forwarded in a
 	// comma-separated list of name=value pairs, where they would start further fields.
 	keyDelimiters = ",=\r\n"
@@ -139,8 +143,9 @@
 // number decodes a decimal number that consists only of digits. A sign is an error, since it would be forwarded with
 // the number.
 func (d *fieldDecoder) number(name string, largest uint64) int64 {
-	number, err := strconv.ParseUint(d.fields[name], 10, 32)
-	d.require(name, err == nil && number <= largest)
+	text := d.fields[name]
+	number, err := strconv.ParseUint(text, 10, 32)
+	d.require(name, err == nil && number <= largest && len(text) <= maxNumberBytes)
 	return int64(number)
 }
 
@@ -150,7 +155,7 @@
 
 func (d *fieldDecoder) idempotencyKey() string {
 	key := d.fields[fieldIdempotencyKey]
-	d.require(fieldIdempotencyKey, !strings.ContainsAny(key, keyDelimiters))
+	d.require(fieldIdempotencyKey, len(key) <= maxIdempotencyKeyBytes && !strings.ContainsAny(key, keyDelimiters))
 	return key
 }
 
--- a/internal/router/request_test.go
+++ b/internal/router/request_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"reflect"
+	"strings"
 	"testing"
 
 	"tealpath/control"
@@ -72,6 +73,8 @@
 		{"nth", "-1"},
 		{"nth", "x"},
 		{"nth", "+3"},
+		{"nth", strings.Repeat("0", 20) + "3"},
+		{"unique", strings.Repeat("x", 257)},
 		{"batch", "256"},
 		{"batch", ""},
 		{"unique", "a,miss=o-a"}, // an endpoint would read this key as two fields
