An id whose request may have been executed is not executed again when it comes back

Callers saw a request that must run once sent to a cache again, when its id came on another connection after its client had disconnected or cancelled, or after it was served.

Cause: an id was forgotten as soon as its request ended.

Change: ids of ended requests that may have been executed and are not idempotent are remembered for twice the longest deadline, within 5% of the memory; a request with such an id is failed.

--- a/control/requests.go
+++ b/control/requests.go
@@ -143,6 +143,9 @@
 	return count
 }
 
+// MayHaveRun reports whether a request may have taken effect at a server.
+func (request *Request) MayHaveRun() bool { return request.anyMayHaveRun() }
+
 // anyMayHaveRun reports whether an attempt of a request may have taken effect at a server.
 func (request *Request) anyMayHaveRun() bool {
 	return slices.ContainsFunc(request.attempts, (*attemptState).mayHaveRun)
--- a/internal/router/clients_test.go
+++ b/internal/router/clients_test.go
@@ -132,6 +132,39 @@
 			h.handle(halfClosed)
 			h.requestElsewhere(1, nonIdempotent)
 		}, "dial, send 1, failed 1, cancel 1, failed 1"},
+		{"the first client has disconnected: the new request is served", func(h *harness) {
+			h.request(1, nil)
+			h.connectNewest()
+			h.handle(ClientDisconnected{Client: 1})
+			h.requestElsewhere(1, nil)
+		}, "dial, send 1, cancel 1, dial"},
+		{"the same with a non-idempotent request: fails, since it may have been executed", func(h *harness) {
+			h.request(1, nonIdempotent)
+			h.connectNewest()
+			h.handle(ClientDisconnected{Client: 1})
+			h.requestElsewhere(1, nonIdempotent)
+		}, "dial, send 1, cancel 1, failed 1"},
+		{"a non-idempotent request that was cancelled, and comes again later", func(h *harness) {
+			h.request(1, nonIdempotent)
+			h.connectNewest()
+			h.handle(RequestCancelled{Client: 1, Seq: 1})
+			h.advance(second)
+			h.requestElsewhere(1, nonIdempotent)
+		}, "dial, send 1, cancel 1, failed 1"},
+		{"a non-idempotent request that was served, and comes again", func(h *harness) {
+			h.request(1, nonIdempotent)
+			h.connectNewest()
+			h.respond(success)
+			h.handle(ClientDisconnected{Client: 1})
+			h.requestElsewhere(1, nonIdempotent)
+		}, "dial, send 1, served 1:bytes, failed 1"},
+		{"a non-idempotent request that cannot have been executed", func(h *harness) {
+			h.request(1, nonIdempotent)
+			h.handle(ConnectionDown{Connection: h.dialled[0]})
+			h.handle(ClientDisconnected{Client: 1})
+			h.mark("again")
+			h.requestElsewhere(1, nonIdempotent)
+		}, "dial, dial, again, dial"},
 		{"the first client has not closed its sending side: the ID is in use", func(h *harness) {
 			h.request(1, nil)
 			h.connectNewest()
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -13,6 +13,7 @@
 	ConnectionPlan *connpool.Plan // also limits the connections to caches; nil: no further limit
 	MaxInFlight    int            // maximum number of requests in flight
 	MaxBodyBytes   int            // maximum total size of the bodies of all requests in flight
+	MaxExecuted    int            // maximum number of ended requests that are remembered as not to be executed again
 	MaxAbandoned   int            // about how many requests may have responses that no attempt waits for; 0: no limit
 }
 
--- a/internal/router/helpers_test.go
+++ b/internal/router/helpers_test.go
@@ -101,7 +101,7 @@
 func newHarness(t *testing.T, change func(*Limits, *control.Settings)) *harness {
 	t.Helper()
 	settings := testSettings()
-	limits := Limits{MaxConnections: 8, MaxInFlight: 100, MaxBodyBytes: 1 << 20}
+	limits := Limits{MaxConnections: 8, MaxInFlight: 100, MaxBodyBytes: 1 << 20, MaxExecuted: 100}
 	if change != nil {
 		change(&limits, &settings)
 	}
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -45,6 +45,10 @@
 		answer(Respond{Kind: BadRequest, Reason: err})
 		return
 	}
+	if r.executed.known[request.ID] && !r.config.isIdempotent(request.Class) {
+		answer(Respond{Kind: Failed})
+		return
+	}
 	if !r.hasCapacity(request) {
 		answer(Respond{Kind: Rejected})
 		return
@@ -135,6 +139,7 @@
 	}
 	response.Client, response.Seq = request.client, request.seq
 	r.removeRequest(request)
+	r.rememberIfExecuted(request)
 	r.emit(response)
 }
 
@@ -177,6 +182,14 @@
 		all[i] = i
 	}
 	r.cancelAttempts(request, all)
+	r.rememberIfExecuted(request)
+}
+
+// rememberIfExecuted remembers the ID of an ended request that may have been executed and must not be executed again.
+func (r *Router) rememberIfExecuted(request *inFlightRequest) {
+	if !r.config.isIdempotent(request.Class) && request.MayHaveRun() {
+		r.executed.add(r.now, request.received.ID)
+	}
 }
 
 // clientHalfClosed handles a client that has closed its sending side. Such a client has usually disconnected, so no
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -28,6 +28,7 @@
 	effects []Effect
 
 	requests       requestTable
+	executed       executedRequests
 	endpoints      endpointTable
 	connections    map[ConnectionID]*connection
 	lastConnection ConnectionID
@@ -48,6 +49,7 @@
 		config:       newConfig(settings),
 		now:          now,
 		requests:     newRequestTable(),
+		executed:     newExecutedRequests(limits.MaxExecuted),
 		endpoints:    newEndpointTable(),
 		connections:  map[ConnectionID]*connection{},
 		localBackoff: connpool.NewLocalBackoff(settings.ConnectTimeout),
--- a/internal/router/timers.go
+++ b/internal/router/timers.go
@@ -113,6 +113,7 @@
 	_, delay := r.policy.Tick(r.now) // policySettings disables health checks, so there are no endpoints to probe
 	r.nextTick = r.now + delay
 	r.forgetAbandoned()
+	r.executed.forgetBefore(r.now - 2*r.config.LongestDeadline)
 	r.closeUnused()
 	r.preconnect()
 }
--- a/internal/server/limits.go
+++ b/internal/server/limits.go
@@ -29,12 +29,13 @@
 	// bodyMemoryShare limits the memory of the bodies of requests in flight.
 	bodyMemoryShare = 0.1
 
-	// abandonedMemoryShare limits the memory of the requests to which responses may come that no attempt waits for.
-	abandonedMemoryShare = 0.05
+	// requestIDMemoryShare limits the memory of the IDs of requests to which responses may come that no attempt waits for.
+	// The same limit applies separately to the IDs of ended requests that must not be executed again.
+	requestIDMemoryShare = 0.05
 )
 
-// bytesPerAbandoned is the memory that each of these requests takes, with the unused part of its table.
-const bytesPerAbandoned = 128
+// bytesPerRequestID is the memory that each of these IDs takes, with the unused part of its table.
+const bytesPerRequestID = 128
 
 // Shares of the configured descriptors. The remaining quarter is for files, listeners and connections to other
 // instances.
--- a/internal/server/prepare.go
+++ b/internal/server/prepare.go
@@ -22,7 +22,8 @@
 	limits := router.Limits{
 		MaxInFlight:    s.config.Settings.MaxInFlight,
 		MaxBodyBytes:   s.memoryBytes(bodyMemoryShare),
-		MaxAbandoned:   s.memoryBytes(abandonedMemoryShare) / bytesPerAbandoned,
+		MaxAbandoned:   s.memoryBytes(requestIDMemoryShare) / bytesPerRequestID,
+		MaxExecuted:    s.memoryBytes(requestIDMemoryShare) / bytesPerRequestID,
 		MaxConnections: s.maxUpstreamSockets(),
 		ConnectionPlan: s.connectionPlan(),
 	}
