A cache server that takes over an address replaces the former one in any order of the list

Callers' requests for a cache server that had gone were sent to its successor at the same address, and requests with a key for one cell could be executed in two.

Cause: an entry replaced the others at its address in the order of the list, so the former instance was ready again if it came after its successor. Requests that may have reached the successor were retried in the former one's cell, and the scope of a key was read from the list at the time of the retry.

Change: known entries are applied first, and a listed endpoint at whose address a later one is ready is gone. Requests in flight on connections of a replaced endpoint get no attempt outside the scope of both. Attempts keep cell and location.

Result: four cases of TestNewInstanceReplacesTheOneAtItsAddress, one of TestNoRetryAfterAReplacementInAnotherCell, and TestKeyScopeIsThatOfTheAttempt fail without the change. TestKeyScopes sets the attempt's cell and location, with the same checks.

--- a/control/control.go
+++ b/control/control.go
@@ -261,6 +261,8 @@
 	attempt := &attemptState{
 		sentAt:      now,
 		cache:       cache,
+		location:    cache.Location,
+		cell:        cache.Cell,
 		source:      source,
 		kind:        request.nextKind(now),
 		minIssuedAt: r.minIssuedAt(request),
--- a/control/requests.go
+++ b/control/requests.go
@@ -36,6 +36,8 @@
 type attemptState struct {
 	sentAt         int64
 	cache          *endpointState
+	location       string         // of the cache, when the attempt was sent
+	cell           int64          // of the cache, when the attempt was sent
 	source         *endpointState // nil if the cache may serve only a cached object
 	probed         *endpointState // the ejected endpoint that this attempt probes, or nil
 	ended          bool
--- a/control/retries.go
+++ b/control/retries.go
@@ -120,11 +120,11 @@
 		}
 		switch request.class.KeyScope {
 		case ScopeZone:
-			if attempt.cache.Location != endpoint.Location {
+			if attempt.location != endpoint.Location {
 				return false
 			}
 		case ScopeCell:
-			if attempt.cache.Cell != endpoint.Cell {
+			if attempt.cell != endpoint.Cell {
 				return false
 			}
 		}
--- a/control/retries_test.go
+++ b/control/retries_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 )
 
@@ -144,7 +145,11 @@
 // A keyed request that may have run is retried only within the scope of its key: servers outside that scope could
 // execute it a second time.
 func TestKeyScopes(t *testing.T) {
-	ran := &attemptState{cache: &endpointState{Endpoint: Endpoint{Location: "here", Cell: 1}}}
+	ran := &attemptState{
+		cache:    &endpointState{Endpoint: Endpoint{Location: "here", Cell: 1}},
+		location: "here",
+		cell:     1,
+	}
 	didNotRun := &attemptState{cache: ran.cache, ended: true, result: NotSent}
 	sameCell := &endpointState{Endpoint: Endpoint{Location: "here", Cell: 1}}
 	sameZone := &endpointState{Endpoint: Endpoint{Location: "here", Cell: 2}}
@@ -187,3 +192,21 @@
 		t.Errorf("decision %+v, want verdict reject without RetryAfter", decision)
 	}
 }
+
+// The scope of an idempotency key is that of the cache to which the request was sent. If the cache's instance comes back in
+// another cell, that cell does not know the request.
+func TestKeyScopeIsThatOfTheAttempt(t *testing.T) {
+	router, request := newRouter(t, nil), newRequest("stamped", "a")
+	decision := router.Decide(start, request)
+	moved := slices.Clone(testEndpoints)
+	for i := range moved {
+		if moved[i].ID == decision.Attempt.Cache {
+			moved[i].Cell = 9
+		}
+	}
+	router.UpdateEndpoints(start+second/10, moved, true)
+	decision = router.AttemptEnded(start+second/5, request, Outcome{Result: ConnectionLost})
+	if decision.Verdict == Send {
+		t.Errorf("decision %+v: sent to cache %d, which is in another cell now", decision, decision.Attempt.Cache)
+	}
+}
--- a/internal/router/endpoint_reference_test.go
+++ b/internal/router/endpoint_reference_test.go
@@ -30,7 +30,7 @@
 			setGone(name)
 		}
 	}
-	for _, entry := range event.Entries {
+	for _, entry := range list.olderFirst(event.Entries) {
 		for name, other := range list {
 			sameAddress := other.Address == entry.Address && entry.Address != ""
 			if name != entry.Instance && sameAddress && other.StartedAt <= entry.StartedAt && entry.Phase == "ready" {
@@ -39,6 +39,16 @@
 		}
 		list[entry.Instance] = entry
 	}
+	for _, listed := range event.Entries {
+		entry := list[listed.Instance]
+		for name, other := range list {
+			sameAddress := other.Address == entry.Address && entry.Address != ""
+			bothReady := entry.Phase == "ready" && other.Phase == "ready"
+			if name != entry.Instance && sameAddress && bothReady && other.StartedAt > entry.StartedAt {
+				setGone(entry.Instance)
+			}
+		}
+	}
 	list.assignIDs()
 	for _, name := range sortedKeys(list) {
 		endpoints = append(endpoints, list[name].Endpoint)
@@ -47,6 +57,19 @@
 	return endpoints
 }
 
+// olderFirst returns entries with those first whose instance the list has at the same address.
+func (list referenceList) olderFirst(entries []EndpointEntry) (ordered []EndpointEntry) {
+	var others []EndpointEntry
+	for _, entry := range entries {
+		if known, listed := list[entry.Instance]; listed && known.Address == entry.Address {
+			ordered = append(ordered, entry)
+		} else {
+			others = append(others, entry)
+		}
+	}
+	return append(ordered, others...)
+}
+
 // assignIDs sets each endpoint's ID to the hash of its name or, if that is taken by an earlier name, to the next free
 // one.
 func (list referenceList) assignIDs() {
--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"slices"
 
 	"tealpath/control"
@@ -36,11 +37,12 @@
 	}
 	anyAdded := false
 	var stale []*connection
-	for _, entry := range event.Entries {
+	for _, entry := range r.olderEntriesFirst(event.Entries) {
 		connections, added := r.applyEntry(entry, changed)
 		stale = append(stale, connections...)
 		anyAdded = anyAdded || added
 	}
+	r.markSupersededGone(event.Entries, changed)
 	reassigned := r.endpoints.assignIDs(anyAdded, changed)
 	r.updatePolicy(changed, reassigned)
 	r.updateConnectionPlan(changed)
@@ -54,6 +56,21 @@
 	r.removeGone()
 }
 
+// olderEntriesFirst returns the entries of one event in the order in which they are applied: those of endpoints that are
+// known at their address come before the others. So an instance that is new at the address of another replaces that one,
+// in whichever order the event lists the two.
+func (r *Router) olderEntriesFirst(entries []EndpointEntry) []EndpointEntry {
+	isNew := func(entry EndpointEntry) int {
+		if known := r.endpoints.byName[entry.Instance]; known != nil && known.Address == entry.Address {
+			return 0
+		}
+		return 1
+	}
+	ordered := slices.Clone(entries)
+	slices.SortStableFunc(ordered, func(a, b EndpointEntry) int { return cmp.Compare(isNew(a), isNew(b)) })
+	return ordered
+}
+
 // markUnlistedGone marks as gone the endpoints that are missing from a complete list.
 func (r *Router) markUnlistedGone(entries []EndpointEntry, changed endpointSet) {
 	listed := map[string]bool{}
@@ -95,10 +112,59 @@
 	for _, endpoint := range r.endpoints.byAddress[entry.Address] {
 		if endpoint.Instance != entry.Instance && endpoint.StartedAt <= entry.StartedAt {
 			changed.addGone(endpoint)
+			r.forbidRetriesOutsideScope(endpoint, entry)
 		}
 	}
 }
 
+// markSupersededGone marks as gone the listed endpoints at whose address another one is ready that started later: the list
+// still has them, but requests to them would reach that one.
+func (r *Router) markSupersededGone(entries []EndpointEntry, changed endpointSet) {
+	for _, entry := range entries {
+		if endpoint := r.endpoints.byName[entry.Instance]; endpoint.isReady() && r.isSuperseded(endpoint) {
+			changed.addGone(endpoint)
+		}
+	}
+}
+
+// isSuperseded reports whether another ready endpoint that started later has the address of an endpoint.
+func (r *Router) isSuperseded(subject *endpoint) bool {
+	if subject.Address == "" {
+		return false
+	}
+	return slices.ContainsFunc(r.endpoints.byAddress[subject.Address], func(other *endpoint) bool {
+		return other != subject && other.isReady() && other.StartedAt > subject.StartedAt
+	})
+}
+
+// forbidRetriesOutsideScope prevents further attempts for the requests that are in flight on established connections to an
+// endpoint whose address a successor has taken over, unless servers in the scope of both drop repetitions. Such a connection
+// may lead to the successor: then a retry in the scope of the endpoint would execute the request twice.
+func (r *Router) forbidRetriesOutsideScope(replaced *endpoint, successor EndpointEntry) {
+	for _, connection := range replaced.connections {
+		if !connection.established {
+			continue
+		}
+		for _, attempt := range connection.inFlight {
+			class := r.config.classes[attempt.request.Class]
+			if class.Idempotency == control.Keyed && !sharesKeyScope(class.KeyScope, replaced, successor) {
+				attempt.request.NoNewAttempts = true
+			}
+		}
+	}
+}
+
+// sharesKeyScope reports whether two endpoints are in the same scope of idempotency keys.
+func sharesKeyScope(scope control.KeyScope, replaced *endpoint, successor EndpointEntry) bool {
+	switch scope {
+	case control.ScopeZone:
+		return replaced.Location == successor.Location
+	case control.ScopeCell:
+		return replaced.Cell == successor.Cell
+	}
+	return true
+}
+
 // updatePolicy passes the changed endpoints to the policy or, if all is true because IDs have changed, the complete
 // endpoint list.
 func (r *Router) updatePolicy(changed endpointSet, all bool) {
--- a/internal/router/endpoints_test.go
+++ b/internal/router/endpoints_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"testing"
+
+	"tealpath/control"
 )
 
 func TestEndpointChangesCloseStaleConnections(t *testing.T) {
@@ -46,6 +48,96 @@
 	})
 }
 
+// An instance that comes up at the address of another one replaces it, in whichever order and with whichever start times an
+// event lists the two. Otherwise requests for the former instance would be sent to the new one.
+func TestNewInstanceReplacesTheOneAtItsAddress(t *testing.T) {
+	const address = "10.0.9.9:1"
+	formerly := func(startedAt int64) EndpointEntry {
+		entry := cacheEntry("s-former", address)
+		entry.StartedAt = startedAt
+		return entry
+	}
+	successor := func(startedAt int64) EndpointEntry {
+		entry := cacheEntry("s-successor", address)
+		entry.StartedAt = startedAt
+		return entry
+	}
+	for _, test := range []struct {
+		name   string
+		events []EndpointListUpdated
+	}{
+		{"a change", []EndpointListUpdated{
+			{Entries: []EndpointEntry{formerly(0)}}, {Entries: []EndpointEntry{successor(start)}},
+		}},
+		{"a change without start times", []EndpointListUpdated{
+			{Entries: []EndpointEntry{formerly(0)}}, {Entries: []EndpointEntry{successor(0)}},
+		}},
+		{"the successor is listed first", []EndpointListUpdated{
+			{Entries: []EndpointEntry{formerly(0)}}, {Entries: []EndpointEntry{successor(start), formerly(0)}},
+		}},
+		{"the successor is listed first, without start times", []EndpointListUpdated{
+			{Entries: []EndpointEntry{formerly(0)}}, {Entries: []EndpointEntry{successor(0), formerly(0)}},
+		}},
+		{"both are new, the successor first", []EndpointListUpdated{
+			{Entries: []EndpointEntry{successor(start), formerly(0)}},
+		}},
+		{"the former one is listed again", []EndpointListUpdated{
+			{Entries: []EndpointEntry{formerly(0)}}, {Entries: []EndpointEntry{successor(start)}},
+			{Entries: []EndpointEntry{formerly(0)}},
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newDefaultHarness(t)
+			for _, event := range test.events {
+				h.handle(event)
+			}
+			former, current := h.endpoints.byName["s-former"], h.endpoints.byName["s-successor"]
+			if former != nil && former.isReady() || current == nil || !current.isReady() {
+				t.Errorf("former instance %+v, successor %+v; want only the successor ready", former, current)
+			}
+		})
+	}
+}
+
+// A request with an idempotency key may have reached the successor of its cache at the same address. If the successor is in
+// another cell, its execution is unknown to the cache's cell, so the request must not be sent there again.
+func TestNoRetryAfterAReplacementInAnotherCell(t *testing.T) {
+	const keyedClass = "orders"
+	for _, test := range []struct {
+		name    string
+		cell    int64 // of the successor; the caches of this location are in cell 1
+		retried bool
+	}{
+		{"the same cell", 1, true},
+		{"another cell", 2, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, func(_ *Limits, settings *control.Settings) {
+				class := nonIdempotentClass()
+				class.Name, class.Idempotency = keyedClass, control.Keyed
+				class.KeyScope, class.KeyWindow = control.ScopeCell, 100*second
+				settings.Classes = append(settings.Classes, class)
+			})
+			var entries []EndpointEntry
+			for _, entry := range initialEndpoints {
+				entry.Cell = 1
+				entries = append(entries, entry)
+			}
+			h.handle(EndpointListUpdated{Complete: true, Entries: entries})
+			h.request(1, map[string]string{"verb": keyedClass})
+			h.connectNewest()
+			successor := cacheEntry("s-successor", h.connections[h.dialled[0]].address)
+			successor.Cell, successor.StartedAt = test.cell, h.now
+			h.update(successor)
+			h.observed = nil
+			h.handle(ConnectionDown{Connection: h.dialled[0]})
+			if retried := len(h.observed) > 0 && strings.HasPrefix(h.observed[0], "dial"); retried != test.retried {
+				t.Errorf("effects %v after the connection was lost; retried %t, want %t", h.observed, retried, test.retried)
+			}
+		})
+	}
+}
+
 // After its clock was set back, an endpoint may restart with a timestamp before that of its last start. Its
 // connections are closed all the same.
 func TestRestartWithEarlierTimestamp(t *testing.T) {
