A held start calls discovery before changes after the start count as known

Cause: the first calls are spread over up to the hold, a minute at most, and no bound knew that an event counts as known after 7 s, while who comes during a hold is served.

Change: with a list the first call comes within 5 s, a retry within 6.5 s.

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -103,7 +103,7 @@
 
 // Run keeps the watch open until ctx ends. It always returns nil.
 func (w *Watcher) Run(ctx context.Context) error {
-	delay := w.schedule.FirstDelay()
+	delay := w.schedule.FirstDelay(w.clock.Now())
 	for ctx.Err() == nil {
 		w.watchAddress(ctx, delay)
 		delay = w.schedule.AddressChanged(w.clock.Now())
--- a/internal/experiment/coldstart/simulation.go
+++ b/internal/experiment/coldstart/simulation.go
@@ -81,7 +81,7 @@
 	schedule := startup.NewCallSchedule(s.Seed*seedStride+uint64(router), s.Routers, startup.ReadinessHold{})
 	at, isFirst := int64(0), true
 	return func() int64 {
-		wait := schedule.FirstDelay()
+		wait := schedule.FirstDelay(0)
 		if !isFirst {
 			wait = schedule.CallEnded(at, startup.Refused)
 		}
--- a/internal/experiment/coldstartsim/router.go
+++ b/internal/experiment/coldstartsim/router.go
@@ -67,7 +67,7 @@
 		r.callDiscovery()
 		return
 	}
-	r.after(r.calls.FirstDelay(), r.callDiscovery)
+	r.after(r.calls.FirstDelay(r.run.now()), r.callDiscovery)
 }
 
 func (r *simulatedRouter) limits(seed uint64) router.Limits {
--- a/internal/lifecycle/startup/readiness_test.go
+++ b/internal/lifecycle/startup/readiness_test.go
@@ -30,7 +30,7 @@
 			}
 			var all []int64
 			for i := range max(1, test.routers) {
-				all = append(all, NewCallSchedule(uint64(i), test.routers, test.hold).FirstDelay())
+				all = append(all, NewCallSchedule(uint64(i), test.routers, test.hold).FirstDelay(0))
 				if last := all[i]; last > test.hold.MaxDuration-answerAllowance {
 					t.Fatalf("first call after %d ms, too late for a hold of %d ms",
 						last/millisecond, test.hold.MaxDuration/millisecond)
@@ -57,3 +57,24 @@
 		t.Error("not ready although the service has answered")
 	}
 }
+
+// A router that has a list serves the clients that come to it while its readiness is held. So whatever the spread of the first
+// calls, it calls the service, also once more if it was refused, by the time at which a change after its start counts as known.
+func TestHeldStartCallsBeforeTheNotificationDeadline(t *testing.T) {
+	for _, hold := range []ReadinessHold{{0.2, 16 * second}, {10, 31 * second}, {1, 60 * second}, {100, 5 * second}} {
+		for _, routers := range []int{1, 3, 30, 300} {
+			for seed := range uint64(200) {
+				schedule := NewCallSchedule(seed, routers, hold)
+				schedule.ListReceived()
+				first := schedule.FirstDelay(0)
+				if first > maxNotificationTime-answerAllowance {
+					t.Fatalf("%v, %d routers, seed %d: first call after %d ms", hold, routers, seed, first/millisecond)
+				}
+				if retry := first + schedule.CallEnded(first, Refused); retry > maxNotificationTime-answerAllowance {
+					t.Fatalf("%v, %d routers, seed %d: called after %d ms and again only after %d ms",
+						hold, routers, seed, first/millisecond, retry/millisecond)
+				}
+			}
+		}
+	}
+}
--- a/internal/lifecycle/startup/schedule.go
+++ b/internal/lifecycle/startup/schedule.go
@@ -33,6 +33,11 @@
 	// the grace period of draining endpoints, 250 ms. The spread is only a part of that.
 	maxFirstSpread = 100 * millisecond
 
+	// maxHeldFirstSpread bounds the spread of the first calls of routers with a list whose readiness is held. Such a
+	// router serves the clients that come to it all the same, so it has to learn of a change by the time at which it
+	// counts as notified. The rest of that time is for one retry.
+	maxHeldFirstSpread = maxNotificationTime - 2*second
+
 	// A router without a list serves no client, so no notification deadline applies to its calls. Their rate depends
 	// on the capacity of the service and on how soon the router should serve. The first retry is made after 0.5 to 1.5
 	// times the duration in which all routers can call once at noListRate; that duration counts as minRetryDelay at
@@ -120,10 +125,13 @@
 	}
 }
 
-// FirstDelay returns the delay from the router's start to its first call, ns.
-func (s *CallSchedule) FirstDelay() int64 {
+// FirstDelay returns the delay from the router's start to its first call, ns. now is the time of the start.
+func (s *CallSchedule) FirstDelay(now int64) int64 {
 	s.answerDeadline = 0 // if the call fails, retries maxRetryDelay apart are soon enough for later changes
 	switch {
+	case s.hold.CallRate > 0 && s.hasList:
+		s.answerDeadline, s.retryAdvanced = now+maxNotificationTime, false
+		return s.draw(s.spread(s.hold.CallRate, min(s.hold.MaxDuration-answerAllowance, maxHeldFirstSpread)))
 	case s.hold.CallRate > 0:
 		return s.draw(s.spread(s.hold.CallRate, s.hold.MaxDuration-answerAllowance))
 	case !s.hasList:
--- a/internal/lifecycle/startup/schedule_test.go
+++ b/internal/lifecycle/startup/schedule_test.go
@@ -10,7 +10,7 @@
 func refusedCalls(routers, configured int, until int64) (all []int64) {
 	for i := range routers {
 		schedule := NewCallSchedule(uint64(i)+1, configured, ReadinessHold{})
-		for at := schedule.FirstDelay(); at < until; at += schedule.CallEnded(at, Refused) {
+		for at := schedule.FirstDelay(0); at < until; at += schedule.CallEnded(at, Refused) {
 			all = append(all, at)
 		}
 	}
@@ -109,7 +109,7 @@
 		{"another address", func(schedule *CallSchedule) int64 {
 			return schedule.AddressChanged(0)
 		}, deadlineAfterAddressChange - answerAllowance},
-		{"the start", (*CallSchedule).FirstDelay, maxFirstSpread},
+		{"the start", func(schedule *CallSchedule) int64 { return schedule.FirstDelay(0) }, maxFirstSpread},
 		{"a disconnect, and the first call fails", func(schedule *CallSchedule) int64 {
 			schedule.DataReceived()
 			first := schedule.CallEnded(0, Disconnected)
@@ -259,7 +259,7 @@
 	for i := range routers {
 		schedule := NewCallSchedule(uint64(i), routers, ReadinessHold{})
 		service.schedules = append(service.schedules, schedule)
-		service.nextCall[i] = schedule.FirstDelay()
+		service.nextCall[i] = schedule.FirstDelay(0)
 	}
 	for now := int64(0); now < 60*second && service.answered < routers; now += 10 * millisecond {
 		service.step(now)
