A configuration is taken also if the operator's file does not fit it

Cause: the operator's file is checked against the new configuration, and an error there rejected the whole load.

Change: a section that does not fit is off at a start and stays as it was at a reload; a file that can't be used stays as a whole. Log events operator_section_ignored and operator_config_rejected; check takes several configurations; connections names what is off.

--- a/cmd/tealpath/check.go
+++ b/cmd/tealpath/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 
@@ -16,30 +17,34 @@
 func checkCommand() *cli.Command {
 	return &cli.Command{
 		Name:         "check",
-		Usage:        "check a configuration file (by default the one in LB_CONFIG) and an operator's file",
-		ArgsUsage:    "[FILE]",
+		Usage:        "check configuration files (by default the one in LB_CONFIG) and an operator's file with each of them",
+		ArgsUsage:    "[FILE ...]",
 		OnUsageError: usageError,
 		Action:       check,
 		Flags:        operatorFlag(),
 	}
 }
 
-// check checks a configuration file, by default the one in LB_CONFIG, and the operator's file if there is one. Without
-// a configuration file it checks the operator's file alone.
+// check checks configuration files, by default the one in LB_CONFIG, and whether the operator's file, if there is one, fits
+// each of them. Without a configuration file it checks the operator's file alone.
 func check(_ context.Context, cmd *cli.Command) error {
-	if err := checkArgs(cmd, 1); err != nil {
-		return err
+	paths := cmd.Args().Slice()
+	if len(paths) == 0 {
+		paths = []string{os.Getenv(configVariable)}
+	}
+	if cmd.String(operatorFlagName) != "" && paths[0] == "" {
+		return checkOperatorFile(cmd)
 	}
-	getenv := func(name string) string {
-		if name == configVariable && cmd.Args().Present() {
-			return cmd.Args().First()
+	var failed []error
+	for _, path := range paths {
+		if err := checkConfig(cmd, path); err != nil {
+			failed = append(failed, err)
 		}
-		return os.Getenv(name)
 	}
-	if cmd.String(operatorFlagName) != "" && getenv(configVariable) == "" {
-		return checkOperatorFile(cmd)
+	if len(failed) == 0 {
+		return nil
 	}
-	return checkConfig(cmd, getenv)
+	return cli.Exit(errors.Join(failed...), exitUsage)
 }
 
 // checkOperatorFile checks the operator's file by itself, without a configuration that it must be compatible with.
@@ -53,18 +58,26 @@
 	return nil
 }
 
-// checkConfig checks a configuration and, if the flag names an operator's file, whether both are compatible.
-func checkConfig(cmd *cli.Command, getenv func(string) string) error {
-	c, err := config.Load(getenv)
+// checkConfig checks the configuration in a file and, if the flag names an operator's file, whether both are compatible.
+func checkConfig(cmd *cli.Command, path string) error {
+	c, err := config.Load(func(name string) string {
+		if name == configVariable {
+			return path
+		}
+		return os.Getenv(name)
+	})
 	if err != nil {
-		return cli.Exit(err, exitUsage)
+		return err
+	}
+	operator, misfits, err := operatorFile(cmd, c)
+	if err == nil {
+		err = misfitError(cmd, misfits)
 	}
-	operator, err := operatorFile(cmd, c)
 	if err != nil {
-		return cli.Exit(err, exitUsage)
+		return fmt.Errorf("configuration %s: %w", path, err)
 	}
 	if err := server.Check(c); err != nil {
-		return cli.Exit(err, exitUsage)
+		return err
 	}
 	fmt.Printf("configuration of %s is usable: clients at %s, discovery service at %s\n",
 		c.Name, c.Listen, c.DiscoveryAddress)
--- a/cmd/tealpath/connections.go
+++ b/cmd/tealpath/connections.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 
 	"tealpath/internal/server"
 
@@ -33,5 +34,8 @@
 		status.Waiting)
 	fmt.Printf("%d goroutines, %d KB of heap, %d KB of stacks\n",
 		status.Goroutines, status.HeapBytes>>10, status.StackBytes>>10)
+	if len(status.OperatorSectionsOff) > 0 {
+		fmt.Printf("off, since they do not fit the configuration: %s\n", strings.Join(status.OperatorSectionsOff, ", "))
+	}
 	return nil
 }
--- a/cmd/tealpath/serve.go
+++ b/cmd/tealpath/serve.go
@@ -9,7 +9,6 @@
 
 	"tealpath/internal/clock"
 	"tealpath/internal/config"
-	"tealpath/internal/operatorconfig"
 	"tealpath/internal/server"
 
 	"github.com/rs/zerolog"
@@ -42,14 +41,14 @@
 	if err != nil {
 		return cli.Exit(err, exitUsage)
 	}
-	operator, err := operatorFile(cmd, c)
+	operator, misfits, err := operatorFile(cmd, c)
 	if err != nil {
 		return cli.Exit(err, exitUsage)
 	}
 	out := newLogWriter(os.Stderr)
 	defer out.Close()
 	logger := zerolog.New(out).With().Timestamp().Logger()
-	router := server.New(c, operator, logger, server.WithClock(clock.System()))
+	router := server.New(c, operator, logger, server.WithClock(clock.System()), server.WithMisfits(misfits))
 	err = router.Run(ctx, shutdown.Done(), reloadSignals, reloadFunc(cmd, c))
 	switch {
 	case errors.Is(err, server.ErrConfig):
@@ -62,12 +61,13 @@
 
 // reloadFunc returns a function that loads the next version of the configuration c and of the operator's file.
 func reloadFunc(cmd *cli.Command, c *config.Config) server.LoadFunc {
-	return func() (*config.Config, *operatorconfig.File, error) {
+	return func() (server.Loaded, error) {
 		next, err := c.Reload(os.Getenv)
 		if err != nil {
-			return nil, nil, err
+			return server.Loaded{}, err
 		}
-		operator, err := operatorFile(cmd, next)
-		return next, operator, err
+		loaded := server.Loaded{Config: next}
+		loaded.Operator, loaded.Misfits, loaded.OperatorError = operatorFile(cmd, next)
+		return loaded, nil
 	}
 }
--- a/internal/server/limits.go
+++ b/internal/server/limits.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"errors"
 	"time"
 
 	"tealpath/internal/config"
@@ -134,10 +133,10 @@
 	return time.Duration(s.config.Settings.LongestDeadline)
 }
 
-// CheckOperatorConfig checks an operator's file against the settings and limits of a configuration. It also sets the
-// parts of the file that come from the configuration, such as the limits of endpoints in slow start, so it must be
-// called before the file is used.
-func CheckOperatorConfig(operator *operatorconfig.File, c *config.Config) error {
+// CheckOperatorConfig checks an operator's file against the settings and limits of a configuration, and returns the sections
+// that do not fit. It also sets the parts of the file that come from the configuration, such as the limits of endpoints in
+// slow start, so it must be called before the file is used.
+func CheckOperatorConfig(operator *operatorconfig.File, c *config.Config) (misfits []*operatorconfig.SectionError) {
 	cache, parent := coldLimits(c.Settings)
 	s := New(c, operator, zerolog.Nop())
 	resources := idle.Resources{
@@ -145,10 +144,14 @@
 		UpstreamConnections: s.maxUpstreamSockets(),
 		MemoryBytes:         int64(s.memoryBytes(1)),
 	}
-	return errors.Join(
-		operator.ApplySettings(c.Settings.HealthChecks, cache, parent),
-		operator.CheckResources(resources, s.maxClientSockets()),
-		operator.CheckReadinessHold(c.Settings.Routers),
-		operator.CheckConnections(routersInLocation(c.Settings)),
-	)
+	check := func(section operatorconfig.Section, err error) {
+		if err != nil {
+			misfits = append(misfits, &operatorconfig.SectionError{Section: section, Err: err})
+		}
+	}
+	check(operatorconfig.SectionProbe, operator.ApplySettings(c.Settings.HealthChecks, cache, parent))
+	check(operatorconfig.SectionIdle, operator.CheckResources(resources, s.maxClientSockets()))
+	check(operatorconfig.SectionStart, operator.CheckReadinessHold(c.Settings.Routers))
+	check(operatorconfig.SectionLinks, operator.CheckConnections(routersInLocation(c.Settings)))
+	return misfits
 }
--- a/internal/server/logevents.go
+++ b/internal/server/logevents.go
@@ -14,6 +14,8 @@
 		ConfigReloaded{},
 		ConfigRejected{},
 		ConfigLoadDelayed{},
+		OperatorConfigRejected{},
+		OperatorSectionIgnored{},
 		OperatorConfigNeedsRestart{},
 		ClusterMessageIgnored{},
 		ClusterMessageNotSent{},
@@ -115,8 +117,7 @@
 	}
 }
 
-// ConfigRejected is logged when a reload finds a configuration or an operator's file that can't be used. Nothing of it
-// is applied.
+// ConfigRejected is logged when a reload finds a configuration that can't be used. Nothing of it is applied.
 type ConfigRejected struct {
 	Cause error `log:"cause"`
 }
@@ -130,6 +131,39 @@
 	}
 }
 
+// OperatorConfigRejected is logged when a reload finds an operator's file that can't be used. The configuration is applied
+// without it.
+type OperatorConfigRejected struct {
+	Cause error `log:"cause"`
+}
+
+// Kind returns the name, level and message that all events of this type have.
+func (OperatorConfigRejected) Kind() logevent.Kind {
+	return logevent.Kind{
+		Name:    "operator_config_rejected",
+		Level:   logevent.Warn,
+		Message: "the new operator's file was rejected, the previous one stays in force",
+	}
+}
+
+// OperatorSectionIgnored is logged at a start or a reload for each section of the operator's file that does not fit the
+// platform's configuration.
+type OperatorSectionIgnored struct {
+	Section string `log:"section"` // start, links, idle or probe
+	Cause   error  `log:"cause"`   // position in the file and reason
+	// InForce is what is in force in place of the section: off, or as at the start, after a reload.
+	InForce string `log:"in_force"`
+}
+
+// Kind returns the name, level and message that all events of this type have.
+func (OperatorSectionIgnored) Kind() logevent.Kind {
+	return logevent.Kind{
+		Name:    "operator_section_ignored",
+		Level:   logevent.Warn,
+		Message: "a section of the operator's file does not fit the configuration",
+	}
+}
+
 // ConfigLoadDelayed is logged when a reload can't read its files because this machine lacks descriptors or memory. The
 // reload is retried until they can be read.
 type ConfigLoadDelayed struct {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -37,6 +37,8 @@
 	clock     clock.Clock
 	openStore func(path string) *snapshot.Store
 
+	misfits []*operatorconfig.SectionError // sections of the operator's file that are off
+
 	phase     Phase
 	inbox     chan postedEvent
 	router    *router.Router
@@ -68,6 +70,16 @@
 // WithClock sets the server's clock. The default is clock.System.
 func WithClock(c clock.Clock) Option { return func(s *Server) { s.clock = c } }
 
+// WithMisfits turns sections of the operator's file off that do not fit the configuration. The server logs them when it starts.
+func WithMisfits(misfits []*operatorconfig.SectionError) Option {
+	return func(s *Server) {
+		s.misfits = misfits
+		for _, misfit := range misfits {
+			s.operator.Disable(misfit.Section)
+		}
+	}
+}
+
 // New returns a server that has not started. operator is nil if there is no operator's file.
 func New(c *config.Config, operator *operatorconfig.File, logger zerolog.Logger, options ...Option) *Server {
 	s := &Server{
@@ -98,6 +110,7 @@
 ) error {
 	s.enter(Starting)
 	defer s.enter(Stopped)
+	s.logMisfits(s.misfits, inForceOff)
 	history, err := s.prepare()
 	if err != nil {
 		return err
