Few routers call discovery every half second at least while it refuses calls

Cause: the delay between refused calls could grow to a tenth of the outage, 5 s at most, whatever is left of the 7 s after which a change counts as known.

Change: with up to 36 routers it is 0.25 to 0.5 s, 96 calls a second in all at most.

--- a/internal/lifecycle/startup/schedule.go
+++ b/internal/lifecycle/startup/schedule.go
@@ -52,10 +52,10 @@
 	maxRetryDelay = maxNotificationTime - 2*second
 	backoffGrowth = 3 // decorrelated jitter: the next delay is at most this multiple of the last one
 
-	// While the service refuses calls, the delay is at most 1/outageDivisor of the time for which it has been out of
-	// reach, but not less than backoffGrowth times the shortest delay. The router counts as notified of a change 7 s
-	// after it, so once the service is back, a call has to follow soon compared with the outage.
-	outageDivisor = 10
+	// maxOutageDelay is the longest delay while the service refuses calls, if all routers together stay within retryRate
+	// with it: up to 36 routers. The router counts as notified of a change 7 s after it, however long the outage was, so a change may
+	// have to be learned just after the service is back.
+	maxOutageDelay = 500 * millisecond
 
 	// minUnansweredDelay is the shortest delay after a call that was accepted but not answered. If routers that
 	// give up called again soon, their calls would refill the service's queue as fast as it empties.
@@ -106,7 +106,6 @@
 
 	firstByteTimeout int64
 	lastDelay        int64 // last delay of the backoff; 0: the backoff starts again
-	unreachableSince int64 // when the first call since data was received ended, ns; 0: none has
 	localErrorDelay  int64 // last delay after a call that this machine could not make; 0: there was none
 	truncations      int   // number of consecutive answers that were truncated
 
@@ -161,7 +160,7 @@
 // DataReceived records that a complete event or comment was received. It resets the backoff and the timeout of the
 // first byte.
 func (s *CallSchedule) DataReceived() {
-	s.hasData, s.firstByteTimeout, s.lastDelay, s.unreachableSince = true, initialFirstByteTimeout, 0, 0
+	s.hasData, s.firstByteTimeout, s.lastDelay = true, initialFirstByteTimeout, 0
 }
 
 // EventReceived records that an event was received completely, and the longest pause inside it, ns.
@@ -205,9 +204,6 @@
 	if result == LocalError {
 		return s.delayAfterLocalError()
 	}
-	if s.unreachableSince == 0 {
-		s.unreachableSince = now
-	}
 	hadData := s.hasData
 	s.hasData, s.localErrorDelay = false, 0
 	if s.retriesAlmostAtOnce(now, result) {
@@ -221,7 +217,7 @@
 	case !s.hasList && result != Unanswered:
 		return s.delayWithoutList()
 	}
-	return s.advanceToDeadline(now, s.retryDelay(now, result))
+	return s.advanceToDeadline(now, s.retryDelay(result))
 }
 
 // retriesAlmostAtOnce reports whether the next call is made within truncatedRetrySpread because the answer was
@@ -255,15 +251,19 @@
 	return s.backoff(minDelay, 3*minDelay, maxNoListSpread*3/2)
 }
 
-// retryDelay returns the delay of the backoff after a call that was refused or got no answer.
-func (s *CallSchedule) retryDelay(now int64, result CallResult) int64 {
+// retryDelay returns the delay after a call that was refused or got no answer. With few routers it does not grow while calls
+// are refused, which costs the service nothing.
+func (s *CallSchedule) retryDelay(result CallResult) int64 {
 	if result == Unanswered {
 		s.firstByteTimeout = min(firstByteTimeoutGrowth*s.firstByteTimeout, maxFirstByteTimeout)
 		return s.backoff(minUnansweredDelay, 2*minUnansweredDelay, maxRetryDelay)
 	}
+	// The mean delay is 3/4 of the longest one: all routers together make 8/9 of retryRate calls per second at most.
+	if s.spread(retryRate*2/3, maxRetryDelay) <= maxOutageDelay {
+		return maxOutageDelay/2 + s.draw(maxOutageDelay/2)
+	}
 	minDelay := min(max(s.spread(retryRate, maxRetryDelay), minRetryDelay), maxRetryDelay/2)
-	maxDelay := max(backoffGrowth*minDelay, (now-s.unreachableSince)/outageDivisor)
-	return s.backoff(minDelay, 2*minDelay, min(maxDelay, maxRetryDelay))
+	return s.backoff(minDelay, 2*minDelay, min(backoffGrowth*minDelay, maxRetryDelay))
 }
 
 // advanceToDeadline shortens the delay of a retry that would miss the notification deadline. The retry is made at a
--- a/internal/lifecycle/startup/schedule_test.go
+++ b/internal/lifecycle/startup/schedule_test.go
@@ -147,12 +147,12 @@
 	return all
 }
 
-// Once a service is back, each router has to call it soon, compared with the outage: a cache that began to drain
-// during the outage counts as known 7 s later. With few routers the delay used to grow to 5 s, whatever the outage.
+// Once a service is back, each router has to call it at once, however long the outage was: a cache that began to drain
+// 6.5 s before its end counts as known 0.5 s after it. The delay used to grow to 5 s.
 func TestServiceIsCalledSoonAfterAnOutage(t *testing.T) {
-	for _, routers := range []int{1, 4, 20} {
-		for _, outage := range []int64{2 * second, 4 * second, 8 * second, 20 * second, 40 * second} {
-			limit := max(backoffGrowth*minRetryDelay, outage/outageDivisor)
+	const limit = answerAllowance
+	for _, routers := range []int{1, 4, 20, 36} {
+		for _, outage := range []int64{2 * second, 4 * second, 8 * second, 20 * second, 40 * second, 60 * second} {
 			for seed := range uint64(50) {
 				for router, calls := range outageCalls(routers, seed, outage+maxRetryDelay) {
 					late := callsFrom(calls, outage)
