An evicted connection counts until its descriptor is closed

Cause: an active connection that is evicted left the table at once and its descriptor up to 0.2 s later; nothing counted it in between.

Change: evicted connections are counted until they are closed; beyond an eighth of the bound, the oldest that have written their last response are closed at once.

--- a/internal/downstream/accept.go
+++ b/internal/downstream/accept.go
@@ -133,6 +133,7 @@
 	s.serving.Add(1)
 	s.goroutines.Go(func() {
 		defer s.serving.Add(-1)
+		defer s.evicted.remove(c)
 		c.serve(ctx)
 	})
 }
--- a/internal/downstream/doc.go
+++ b/internal/downstream/doc.go
@@ -21,6 +21,8 @@
 //  2. connection.mu
 //  3. idleConnections.mu
 //
+// evictedConnections.mu is acquired before connection.mu, while none of the others is held.
+//
 // Comments at the fields say which lock guards them. heartbeat.mu and the poller's lock are acquired last: no
 // other lock is acquired while one of them is held.
 package downstream
--- a/internal/downstream/eviction.go
+++ b/internal/downstream/eviction.go
@@ -1,6 +1,8 @@
 package downstream
 
 import (
+	"slices"
+	"sync"
 	"time"
 
 	"tealpath/internal/downstream/idle"
@@ -47,13 +49,58 @@
 	if active == nil {
 		return evicted
 	}
+	s.evicted.add(active) // before tryClose, which may end the connection
 	if !active.tryClose() {
+		s.evicted.remove(active)
 		return false
 	}
 	s.unregister(active)
+	s.evicted.closeOldest(s.config.MaxConnections/closingDivisor + 1)
 	return true
 }
 
+// evictedConnections holds the connections that were evicted while they were active, in the order of their eviction, until
+// their descriptors are closed. They have no slot any more, so without a limit on their number a crowd of idle clients could
+// take the process over its limit of descriptors.
+type evictedConnections struct {
+	mu          sync.Mutex
+	connections []*connection // guarded by mu
+}
+
+// add adds a connection, unless it is there already.
+func (e *evictedConnections) add(c *connection) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !slices.Contains(e.connections, c) {
+		e.connections = append(e.connections, c)
+	}
+}
+
+// remove removes a connection whose descriptor is closed, or which was not evicted after all.
+func (e *evictedConnections) remove(c *connection) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if at := slices.Index(e.connections, c); at >= 0 {
+		e.connections = slices.Delete(e.connections, at, at+1)
+	}
+}
+
+// closeOldest closes connections beyond a number without waiting until their clients have closed their side: the oldest
+// ones of those that have written their last response.
+func (e *evictedConnections) closeOldest(limit int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	excess := len(e.connections) - limit
+	e.connections = slices.DeleteFunc(e.connections, func(c *connection) bool {
+		if excess <= 0 || !c.isLingering() {
+			return false
+		}
+		excess--
+		neterr.Close(c.conn)
+		return true
+	})
+}
+
 // tryClose starts to close a connection, unless it has a request in flight, an unwritten response or unread
 // data, because each request that was sent must get a response. Requests that arrive from now on are rejected.
 // The connection's reader then closes the sending side and lingers. If the connection were closed at once with
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -77,6 +77,7 @@
 	resumeLimits idle.ResumeLimits
 	memory       *memoryLimits
 	idle         *idleConnections
+	evicted      evictedConnections
 	heartbeat    heartbeat
 	goroutines   sync.WaitGroup
 
