The router goes on when whoever reads its log goes away

The process ended by SIGPIPE at its next log line, with all requests in flight, once nobody read its standard error.

Cause: Go ends a program on SIGPIPE from a write to descriptor 1 or 2, unless the signal is ignored.

Change: it is ignored. Lines that can't be written are counted and reported by log_lines_lost once they can.

Result: TestRouterOutlivesTheReaderOfItsLog fails without the change ("signal: broken pipe").

--- a/cmd/tealpath/log.go
+++ b/cmd/tealpath/log.go
@@ -25,7 +25,7 @@
 type logWriter struct {
 	out     io.Writer
 	lines   chan []byte
-	lost    atomic.Int64  // number of lines dropped since the last LogLinesLost event
+	lost    atomic.Int64  // number of lines dropped or not written since the last LogLinesLost event
 	closing chan struct{} // closed by Close
 	closed  chan struct{} // closed when the goroutine that writes lines has ended
 }
@@ -66,12 +66,23 @@
 	}
 }
 
-// write writes a line. If lines have been dropped, it first writes a LogLinesLost event.
+// write writes a line. If lines have been lost, it first writes a LogLinesLost event. A line that can't be written, for
+// example because nobody reads the log any more, is lost and counted: there is no other place to report it.
 func (w *logWriter) write(line []byte) {
-	if lost := w.lost.Swap(0); lost > 0 {
-		server.WriteEvent(zerolog.New(w.out), LogLinesLost{Lines: lost})
+	if lost := w.lost.Load(); lost > 0 && w.writeLost(lost) {
+		w.lost.Add(-lost)
 	}
-	_, _ = w.out.Write(line) // there is no other place to report an error of the log itself
+	if _, err := w.out.Write(line); err != nil {
+		w.lost.Add(1)
+	}
+}
+
+// writeLost writes a LogLinesLost event and reports whether that succeeded.
+func (w *logWriter) writeLost(lost int64) bool {
+	var event bytes.Buffer
+	server.WriteEvent(zerolog.New(&event), LogLinesLost{Lines: lost})
+	_, err := w.out.Write(event.Bytes())
+	return err == nil
 }
 
 // Close waits until the queued lines are written, but at most for logCloseTimeout.
--- a/cmd/tealpath/log_test.go
+++ b/cmd/tealpath/log_test.go
@@ -5,7 +5,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"os"
+	"os/exec"
+	"regexp"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -77,3 +81,72 @@
 			lines, written, lost)
 	}
 }
+
+// failingWriter fails while broken is set, as the log does while nobody reads it.
+type failingWriter struct {
+	strings.Builder
+	broken bool
+}
+
+func (w *failingWriter) Write(raw []byte) (int, error) {
+	if w.broken {
+		return 0, syscall.EPIPE
+	}
+	return w.Builder.Write(raw)
+}
+
+// Lines that can't be written are counted, and once the log can be written again it says how many they were.
+func TestUnwrittenLogLinesAreCounted(t *testing.T) {
+	out := &failingWriter{broken: true}
+	w := &logWriter{out: out}
+	for range 3 {
+		w.write([]byte("lost\n"))
+	}
+	out.broken = false
+	w.write([]byte("written\n"))
+	w.write([]byte("written\n"))
+	want := regexp.MustCompile(`^\{[^\n]*"lines":3[^\n]*\}\nwritten\nwritten\n$`)
+	if got := out.String(); !want.MatchString(got) {
+		t.Errorf("log %q, want one event with 3 lost lines and two written lines", got)
+	}
+}
+
+// The router goes on when whoever reads its log goes away: it used to be ended by SIGPIPE at its next log line.
+func TestRouterOutlivesTheReaderOfItsLog(t *testing.T) {
+	router, _, _ := newTestCell(t, clientTimeout.Seconds())
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	command := exec.Command(self)
+	command.Env = append(os.Environ(), runAsProgram+"=1", "LB_CONFIG="+router.configPath, "LB_LISTEN="+router.address)
+	command.Stderr = writer
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- command.Wait() }()
+	t.Cleanup(func() { _ = command.Process.Kill() })
+	testkit.Close(writer)
+	testkit.WaitUntil(t, testkit.Timeout, "the router is healthy", func() bool {
+		return testkit.IsHealthy(t, router.address, time.Second)
+	})
+	testkit.Close(reader)
+	for range 5 { // each signal has a line logged
+		if err := command.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case err := <-ended:
+			t.Fatalf("the router ended: %v", err)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	if !testkit.IsHealthy(t, router.address, time.Second) {
+		t.Error("the router does not serve once nobody reads its log")
+	}
+}
--- a/cmd/tealpath/serve.go
+++ b/cmd/tealpath/serve.go
@@ -35,6 +35,8 @@
 	reloadSignals := make(chan os.Signal, 1)
 	signal.Notify(reloadSignals, syscall.SIGHUP)
 	defer signal.Stop(reloadSignals)
+	// By default a write to standard error ends the process once nobody reads it.
+	signal.Ignore(syscall.SIGPIPE)
 	shutdown, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	c, err := config.Load(os.Getenv)
