A load report with a value that no server can have is not used

One answer with a load report of NaN had 981 of 1,000 requests rejected from then on.

Cause: the value went into a decaying average, which it spoils for good.

Change: a report with a value that is negative, over 1e9, infinite or NaN is not used.

Result: six of the eleven cases of TestDecodeLoadReport fail without the change. Other numbers from outside were not gone through.

--- a/internal/upstream/loadreport.go
+++ b/internal/upstream/loadreport.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"strconv"
 	"strings"
 )
@@ -22,14 +23,22 @@
 	"errors_per_s": {"eps"},
 }
 
-// decodeLoadReport returns the values of a load report for the given names, in that order. A value that is missing or
-// not a number is 0.
+// maxReportedLoad is the largest value of a load report that is used.
+const maxReportedLoad = 1e9
+
+// decodeLoadReport returns the values of a load report for the given names, in that order. A value that is missing or not a
+// number is 0. It returns nil if a value is not from 0 to maxReportedLoad: such a report is not used, since one value that
+// is infinite, for example, would spoil an average for good.
 func decodeLoadReport(text string, names []string) []float64 {
 	reported := map[string]float64{}
 	for field := range strings.SplitSeq(text, ";") {
 		name, value, _ := strings.Cut(field, ":")
-		if number, err := strconv.ParseFloat(value, 64); err == nil {
+		number, err := strconv.ParseFloat(value, 64)
+		switch inRange := number >= 0 && number <= maxReportedLoad; {
+		case inRange && err == nil:
 			reported[name] = number
+		case err == nil || errors.Is(err, strconv.ErrRange):
+			return nil
 		}
 	}
 	values := make([]float64, len(names))
