--- a/cmd/tealpath/badclients_test.go
+++ b/cmd/tealpath/badclients_test.go
@@ -67,8 +67,8 @@
 // sequenceOffset is the position of the sequence number in the frame of a call.
 const sequenceOffset = 16
 
-// repeatCall returns a bad client that writes one call after another at full speed. All have the given body and additional
-// fields, and an ID of their own.
+// repeatCall returns a bad client that writes one call after another at full speed. All have the given body and
+// additional fields, and an ID of their own.
 func repeatCall(body string, additional ...string) badClient {
 	template := testkit.NewClient(nil, nil).CallFrame(testkit.ObjectID(1), clientTimeout, body, additional...)
 	idOffset := bytes.Index(template, []byte("txn")) + len("txn") + 4
@@ -85,8 +85,8 @@
 	}
 }
 
-// fillConnection returns a bad client that puts as many calls in flight as one connection may have, and keeps them there.
-// Each call has a body of one byte and an unknown argument of the given size. No cache responds to it.
+// fillConnection returns a bad client that puts as many calls in flight as one connection may have, and keeps them
+// there. Each call has a body of one byte and an unknown argument of the given size. No cache responds to it.
 func fillConnection(unknownBytes int) badClient {
 	return func(conn net.Conn, running func() bool) {
 		client := testkit.NewClient(nil, conn)
@@ -166,8 +166,8 @@
 	worst      time.Duration // longest time from a request to its response
 }
 
-// runUsualClient sends one request after another until stopped is closed. It keeps its connection until the router ends it. A
-// request that crosses that end is sent again once, on a new connection, as the platform's clients do.
+// runUsualClient sends one request after another until stopped is closed. It keeps its connection until the router ends
+// it. A request that crosses that end is sent again once, on a new connection, as the platform's clients do.
 func runUsualClient(t *testing.T, address string, stopped <-chan struct{}) (result usualClientResult) {
 	client := usualClient{testkit.Dial(t, address)}
 	for n := 0; ; n++ {
@@ -201,8 +201,8 @@
 	return got == sequence
 }
 
-// Requests of usual clients must be answered in time, and the router must stay within its memory, whatever other clients
-// do.
+// Requests of usual clients must be answered in time, and the router must stay within its memory, whatever other
+// clients do.
 func TestUsualClientsBesideBadClients(t *testing.T) {
 	largeBody := strings.Repeat("x", 240_000)
 	for _, test := range []struct {
@@ -253,7 +253,8 @@
 	t.Logf("%d requests answered, the slowest after %v; peak memory %d KB", result.answered, result.worst, peak)
 }
 
-// idleClient is a bad client that sends nothing, and closes its side some time after the router has ended the connection.
+// idleClient is a bad client that sends nothing, and closes its side some time after the router has ended the
+// connection.
 func idleClient(conn net.Conn, running func() bool) {
 	const untilClose = 300 * time.Millisecond
 	for running() && conn.SetReadDeadline(time.Now().Add(memorySampleInterval)) == nil {
@@ -264,15 +265,16 @@
 	}
 }
 
-// A crowd of idle clients must not take the router over its limit of descriptors: an evicted connection counts until its
-// descriptor is closed. Usual clients are served meanwhile.
+// A crowd of idle clients must not take the router over its limit of descriptors: an evicted connection counts until
+// its descriptor is closed. Usual clients are served meanwhile.
 func TestIdleCrowdStaysWithinDescriptors(t *testing.T) {
 	const sockets, crowd = 256, 800
 	router, _, _ := newTestCell(t, clientTimeout.Seconds(), `"sockets":1024`, fmt.Sprintf(`"sockets":%d`, sockets))
 	process := router.spawnHealthy(t)
 	stopped, results, peak := make(chan struct{}), make(chan usualClientResult, 1), make(chan int, 1)
 	go func() { results <- runUsualClient(t, router.address, stopped) }()
-	time.Sleep(maxLateness) // so that the client has been answered: a new connection may be evicted before its first request
+	// The client is answered first: a new connection may be evicted before its first request.
+	time.Sleep(maxLateness)
 	go func() {
 		largest := 0
 		for {
--- a/cmd/tealpath/check.go
+++ b/cmd/tealpath/check.go
@@ -17,7 +17,7 @@
 func checkCommand() *cli.Command {
 	return &cli.Command{
 		Name:         "check",
-		Usage:        "check configuration files (by default the one in LB_CONFIG) and an operator's file with each of them",
+		Usage:        "check configuration files (by default the one in LB_CONFIG) and an operator's file with each",
 		ArgsUsage:    "[FILE ...]",
 		OnUsageError: usageError,
 		Action:       check,
@@ -25,8 +25,8 @@
 	}
 }
 
-// check checks configuration files, by default the one in LB_CONFIG, and whether the operator's file, if there is one, fits
-// each of them. Without a configuration file it checks the operator's file alone.
+// check checks configuration files, by default the one in LB_CONFIG, and whether the operator's file, if there is one,
+// fits each of them. Without a configuration file it checks the operator's file alone.
 func check(_ context.Context, cmd *cli.Command) error {
 	paths := cmd.Args().Slice()
 	if len(paths) == 0 {
@@ -58,7 +58,8 @@
 	return nil
 }
 
-// checkConfig checks the configuration in a file and, if the flag names an operator's file, whether both are compatible.
+// checkConfig checks the configuration in a file and, if the flag names an operator's file, whether both are
+// compatible.
 func checkConfig(cmd *cli.Command, path string) error {
 	c, err := config.Load(func(name string) string {
 		if name == configVariable {
--- a/cmd/tealpath/operator.go
+++ b/cmd/tealpath/operator.go
@@ -42,8 +42,8 @@
 // jsonFlag returns the flag --json with the given help text.
 func jsonFlag(usage string) cli.Flag { return &cli.BoolFlag{Name: jsonFlagName, Usage: usage} }
 
-// operatorFile loads the operator's file and returns it with the sections that do not fit the configuration. It returns nil
-// without an error if the flag --operator is not set.
+// operatorFile loads the operator's file and returns it with the sections that do not fit the configuration. It returns
+// nil without an error if the flag --operator is not set.
 func operatorFile(
 	cmd *cli.Command, c *config.Config,
 ) (operator *operatorconfig.File, misfits []*operatorconfig.SectionError, err error) {
--- a/control/retries_test.go
+++ b/control/retries_test.go
@@ -193,8 +193,8 @@
 	}
 }
 
-// The scope of an idempotency key is that of the cache to which the request was sent. If the cache's instance comes back in
-// another cell, that cell does not know the request.
+// The scope of an idempotency key is that of the cache to which the request was sent. If the cache's instance comes
+// back in another cell, that cell does not know the request.
 func TestKeyScopeIsThatOfTheAttempt(t *testing.T) {
 	router, request := newRouter(t, nil), newRequest("stamped", "a")
 	decision := router.Decide(start, request)
--- a/internal/downstream/cancels_test.go
+++ b/internal/downstream/cancels_test.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// A client that cancels each of its requests at once must not have any number of them started. Beyond a number of recent
-// cancels its requests are rejected; later it may go on.
+// A client that cancels each of its requests at once must not have any number of them started. Beyond a number of
+// recent cancels its requests are rejected; later it may go on.
 func TestRequestsAfterManyCancelsAreRejected(t *testing.T) {
 	config := smallConfig
 	config.MaxRequestsPerConnection = 4
--- a/internal/downstream/closing_test.go
+++ b/internal/downstream/closing_test.go
@@ -2,8 +2,8 @@
 
 import "testing"
 
-// A client that violates the protocol and goes on sending at full speed must not keep the process busy discarding its data.
-// It was read at up to 32 MB a second, and a few hundred such clients took the processor from all others.
+// A client that violates the protocol and goes on sending at full speed must not keep the process busy discarding its
+// data. It was read at up to 32 MB a second, and a few hundred such clients took the processor from all others.
 func TestDataAfterAProtocolViolationIsReadSlowly(t *testing.T) {
 	t.Parallel()
 	server, _ := startServer(t, smallConfig)
--- a/internal/downstream/departure.go
+++ b/internal/downstream/departure.go
@@ -13,13 +13,14 @@
 	// their sending side. No attempt may begin more than 100 ms after that.
 	departureCheckInterval = 20 * time.Millisecond
 
-	// minReadingTime is how long, in ns, the data of a client has to be read without a pause before the client is checked.
+	// minReadingTime is how long, in ns, the data of a client has to be read without a pause before the client is
+	// checked.
 	minReadingTime = int64(20 * time.Millisecond)
 )
 
-// watchDepartures reports clients that have closed their sending side while the end of the stream is still behind unread
-// data: their readers notice it only once they have read the data, or once the router has taken a request. It returns when
-// the context ends.
+// watchDepartures reports clients that have closed their sending side while the end of the stream is still behind
+// unread data: their readers notice it only once they have read the data, or once the router has taken a request. It
+// returns when the context ends.
 func (s *Server) watchDepartures(ctx context.Context) {
 	ticker := time.NewTicker(departureCheckInterval)
 	defer ticker.Stop()
@@ -71,8 +72,9 @@
 	}
 }
 
-// hasDeparted reports whether the client has closed its sending side so long ago that its request must not be forwarded.
-// arrivedAt is the earliest time, in ns, at which the end of the request can have arrived. Only the reader may call it.
+// hasDeparted reports whether the client has closed its sending side so long ago that its request must not be
+// forwarded. arrivedAt is the earliest time, in ns, at which the end of the request can have arrived. Only the reader
+// may call it.
 func (c *connection) hasDeparted(arrivedAt int64) bool {
 	c.mu.Lock()
 	departed := c.departed
--- a/internal/downstream/departure_test.go
+++ b/internal/downstream/departure_test.go
@@ -10,8 +10,8 @@
 	"tealpath/internal/testkit"
 )
 
-// startBlockingServer starts a server whose router takes no more requests until release is closed, once it has taken the
-// first one. The channel receives all events that the router takes.
+// startBlockingServer starts a server whose router takes no more requests until release is closed, once it has taken
+// the first one. The channel receives all events that the router takes.
 func startBlockingServer(t *testing.T) (server *Server, events chan router.Event, release chan struct{}) {
 	t.Helper()
 	events, release = make(chan router.Event, 100), make(chan struct{})
@@ -40,8 +40,8 @@
 	{"resets", reset},
 }
 
-// If a client leaves while the router takes no requests, its request in flight must get no further attempts, and its unread
-// requests must not be forwarded later: they were sent to caches seconds after the client had gone.
+// If a client leaves while the router takes no requests, its request in flight must get no further attempts, and its
+// unread requests must not be forwarded later: they were sent to caches seconds after the client had gone.
 func TestUnreadRequestsOfDepartedClientsAreNotForwarded(t *testing.T) {
 	for _, test := range peerDepartures {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/downstream/eviction.go
+++ b/internal/downstream/eviction.go
@@ -59,9 +59,9 @@
 	return true
 }
 
-// evictedConnections holds the connections that were evicted while they were active, in the order of their eviction, until
-// their descriptors are closed. They have no slot any more, so without a limit on their number a crowd of idle clients could
-// take the process over its limit of descriptors.
+// evictedConnections holds the connections that were evicted while they were active, in the order of their eviction,
+// until their descriptors are closed. They have no slot any more, so without a limit on their number a crowd of idle
+// clients could take the process over its limit of descriptors.
 type evictedConnections struct {
 	mu          sync.Mutex
 	connections []*connection // guarded by mu
--- a/internal/downstream/logevents_test.go
+++ b/internal/downstream/logevents_test.go
@@ -37,7 +37,8 @@
 func TestResponseMemoryEvents(t *testing.T) {
 	const maxBytes = 1000
 	var emitted []logevent.Event
-	memory := newMemoryLimits(Config{MaxBytes: maxBytes}, func(event logevent.Event) { emitted = append(emitted, event) })
+	emit := func(event logevent.Event) { emitted = append(emitted, event) }
+	memory := newMemoryLimits(Config{MaxBytes: maxBytes}, emit)
 	for _, step := range []struct {
 		queued   int64 // change of the size of unwritten responses before the step, bytes
 		body     int
--- a/internal/downstream/memory.go
+++ b/internal/downstream/memory.go
@@ -51,9 +51,9 @@
 	return requestMemory{limits: m, bytes: int64(size)}, true
 }
 
-// requestMemory is the memory that is reserved for one request. It is reserved until the router has handled the request:
-// from then on, the router's own limit on the bodies of requests in flight applies. The zero value is for a small
-// request, which needs no reservation.
+// requestMemory is the memory that is reserved for one request. It is reserved until the router has handled the
+// request: from then on, the router's own limit on the bodies of requests in flight applies. The zero value is for a
+// small request, which needs no reservation.
 type requestMemory struct {
 	limits *memoryLimits
 	bytes  int64
@@ -67,8 +67,8 @@
 	}
 }
 
-// handOver returns a function that ends the reservation, and makes release do nothing. The function is nil if nothing is
-// reserved.
+// handOver returns a function that ends the reservation, and makes release do nothing. The function is nil if nothing
+// is reserved.
 func (r *requestMemory) handOver() (release func()) {
 	if r.bytes == 0 {
 		return nil
--- a/internal/downstream/read.go
+++ b/internal/downstream/read.go
@@ -46,9 +46,9 @@
 // readRequests reads requests until the connection fails, becomes idle or draining, or receives data that
 // cannot be parsed. It returns the reason.
 //
-// The reader yields the processor after each message and each part of a long one. A client that sends at full speed always
-// has unread data, so its reader never blocks: without yielding, it would run for the scheduler's whole time slice of about
-// 10 ms, and a few hundred such clients would keep all others waiting for seconds.
+// The reader yields the processor after each message and each part of a long one. A client that sends at full speed
+// always has unread data, so its reader never blocks: without yielding, it would run for the scheduler's whole time
+// slice of about 10 ms, and a few hundred such clients would keep all others waiting for seconds.
 func (c *connection) readRequests(ctx context.Context) error {
 	in := bufio.NewReaderSize(neterr.Reader{From: &c.arrivals}, maxSmallFrameBytes)
 	for {
@@ -228,8 +228,8 @@
 }
 
 // detachBody returns the body of a call whose arguments have the given size in bytes. The body shares the memory of the
-// call's frame. If that is mostly taken by other data, such as unknown arguments, the body is copied, so that the frame does
-// not stay in memory with it.
+// call's frame. If that is mostly taken by other data, such as unknown arguments, the body is copied, so that the frame
+// does not stay in memory with it.
 func detachBody(body []byte, argumentBytes int) []byte {
 	if 2*len(body) >= argumentBytes {
 		return body
--- a/internal/downstream/shed_test.go
+++ b/internal/downstream/shed_test.go
@@ -21,8 +21,8 @@
 	activeClients    = 70 // more than are resumed whatever the free memory
 	ampleMemory      = 1 << 30
 
-	// maxBurstWait is how long received data may wait for memory in these tests. It is a quarter of the shortest time of a
-	// request, as in service.
+	// maxBurstWait is how long received data may wait for memory in these tests. It is a quarter of the shortest time
+	// of a request, as in service.
 	maxBurstWait = 300 * time.Millisecond
 	requestTime  = 4 * maxBurstWait
 )
@@ -57,8 +57,8 @@
 	return server, events, conns, &free
 }
 
-// checkBurst sends a request on each connection and checks that each gets a response with the given part within its time.
-// Stalls of this process, which also runs the server, are added to that time.
+// checkBurst sends a request on each connection and checks that each gets a response with the given part within its
+// time. Stalls of this process, which also runs the server, are added to that time.
 func checkBurst(t *testing.T, conns []net.Conn, part string) {
 	t.Helper()
 	stalls := testkit.WatchProcessStalls(os.Getpid())
--- a/internal/downstream/wake.go
+++ b/internal/downstream/wake.go
@@ -14,8 +14,8 @@
 // connection expires, but one that is added during the pause may expire earlier.
 const maxMaintenanceInterval = 100 * time.Millisecond
 
-// resumeBatchDuration is how long the waker resumes connections before it yields the processor. Beside many clients that
-// send at full speed, it takes some tens of milliseconds until the waker runs again.
+// resumeBatchDuration is how long the waker resumes connections before it yields the processor. Beside many clients
+// that send at full speed, it takes some tens of milliseconds until the waker runs again.
 const resumeBatchDuration = 2 * time.Millisecond
 
 // maintain resumes suspended connections, and closes expired ones at the rate that the table allows, until the
--- a/internal/downstream/write.go
+++ b/internal/downstream/write.go
@@ -122,8 +122,8 @@
 	c.enqueue(pieces)
 }
 
-// sendToCanceller queues the rejection of a request whose client has cancelled too many. A client that has
-// had no other response still counts as one without a response: it must not keep its connection by cancelling everything.
+// sendToCanceller queues the rejection of a request whose client has cancelled too many. A client that has had no other
+// response still counts as one without a response: it must not keep its connection by cancelling everything.
 func (c *connection) sendToCanceller(response thrift.Response) {
 	pieces := thrift.EncodeResponse(response)
 	c.mu.Lock()
--- a/internal/lifecycle/startup/readiness_test.go
+++ b/internal/lifecycle/startup/readiness_test.go
@@ -58,8 +58,9 @@
 	}
 }
 
-// A router that has a list serves the clients that come to it while its readiness is held. So whatever the spread of the first
-// calls, it calls the service, also once more if it was refused, by the time at which a change after its start counts as known.
+// A router that has a list serves the clients that come to it while its readiness is held. So whatever the spread of
+// the first calls, it calls the service, also once more if it was refused, by the time at which a change after its
+// start counts as known.
 func TestHeldStartCallsBeforeTheNotificationDeadline(t *testing.T) {
 	for _, hold := range []ReadinessHold{{0.2, 16 * second}, {10, 31 * second}, {1, 60 * second}, {100, 5 * second}} {
 		for _, routers := range []int{1, 3, 30, 300} {
--- a/internal/lifecycle/startup/schedule.go
+++ b/internal/lifecycle/startup/schedule.go
@@ -52,9 +52,9 @@
 	maxRetryDelay = maxNotificationTime - 2*second
 	backoffGrowth = 3 // decorrelated jitter: the next delay is at most this multiple of the last one
 
-	// maxOutageDelay is the longest delay while the service refuses calls, if all routers together stay within retryRate
-	// with it: up to 36 routers. The router counts as notified of a change 7 s after it, however long the outage was, so a change may
-	// have to be learned just after the service is back.
+	// maxOutageDelay is the longest delay while the service refuses calls, if all routers together stay within
+	// retryRate with it: up to 36 routers. The router counts as notified of a change 7 s after it, however long the
+	// outage was, so a change may have to be learned just after the service is back.
 	maxOutageDelay = 500 * millisecond
 
 	// minUnansweredDelay is the shortest delay after a call that was accepted but not answered. If routers that
@@ -251,8 +251,8 @@
 	return s.backoff(minDelay, 3*minDelay, maxNoListSpread*3/2)
 }
 
-// retryDelay returns the delay after a call that was refused or got no answer. With few routers it does not grow while calls
-// are refused, which costs the service nothing.
+// retryDelay returns the delay after a call that was refused or got no answer. With few routers it does not grow while
+// calls are refused, which costs the service nothing.
 func (s *CallSchedule) retryDelay(result CallResult) int64 {
 	if result == Unanswered {
 		s.firstByteTimeout = min(firstByteTimeoutGrowth*s.firstByteTimeout, maxFirstByteTimeout)
--- a/internal/router/connections.go
+++ b/internal/router/connections.go
@@ -190,12 +190,12 @@
 	}
 }
 
-// abandonedShareDivisor divides Limits.MaxAbandoned: the result is how many entries abandonedAt of one connection may have
-// before the connection is drained.
+// abandonedShareDivisor divides Limits.MaxAbandoned: the result is how many entries abandonedAt of one connection may
+// have before the connection is drained.
 const abandonedShareDivisor = 16
 
-// expectResponse records that a response to a request may still be received on a connection although no attempt waits for
-// it. If there are too many such requests, the connection is drained: with it, they are forgotten.
+// expectResponse records that a response to a request may still be received on a connection although no attempt waits
+// for it. If there are too many such requests, the connection is drained: with it, they are forgotten.
 func (r *Router) expectResponse(connection *connection, id RequestID) {
 	if _, known := connection.abandonedAt[id]; !known {
 		r.abandoned++
--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -56,9 +56,9 @@
 	r.removeGone()
 }
 
-// olderEntriesFirst returns the entries of one event in the order in which they are applied: those of endpoints that are
-// known at their address come before the others. So an instance that is new at the address of another replaces that one,
-// in whichever order the event lists the two.
+// olderEntriesFirst returns the entries of one event in the order in which they are applied: those of endpoints that
+// are known at their address come before the others. So an instance that is new at the address of another replaces that
+// one, in whichever order the event lists the two.
 func (r *Router) olderEntriesFirst(entries []EndpointEntry) []EndpointEntry {
 	isNew := func(entry EndpointEntry) int {
 		if known := r.endpoints.byName[entry.Instance]; known != nil && known.Address == entry.Address {
@@ -117,8 +117,8 @@
 	}
 }
 
-// markSupersededGone marks as gone the listed endpoints at whose address another one is ready that started later: the list
-// still has them, but requests to them would reach that one.
+// markSupersededGone marks as gone the listed endpoints at whose address another one is ready that started later: the
+// list still has them, but requests to them would reach that one.
 func (r *Router) markSupersededGone(entries []EndpointEntry, changed endpointSet) {
 	for _, entry := range entries {
 		if endpoint := r.endpoints.byName[entry.Instance]; endpoint.isReady() && r.isSuperseded(endpoint) {
@@ -137,9 +137,9 @@
 	})
 }
 
-// forbidRetriesOutsideScope prevents further attempts for the requests that are in flight on established connections to an
-// endpoint whose address a successor has taken over, unless servers in the scope of both drop repetitions. Such a connection
-// may lead to the successor: then a retry in the scope of the endpoint would execute the request twice.
+// forbidRetriesOutsideScope prevents further attempts for the requests that are in flight on established connections to
+// an endpoint whose address a successor has taken over, unless servers in the scope of both drop repetitions. Such a
+// connection may lead to the successor: then a retry in the scope of the endpoint would execute the request twice.
 func (r *Router) forbidRetriesOutsideScope(replaced *endpoint, successor EndpointEntry) {
 	for _, connection := range replaced.connections {
 		if !connection.established {
--- a/internal/router/endpoints_test.go
+++ b/internal/router/endpoints_test.go
@@ -48,8 +48,8 @@
 	})
 }
 
-// An instance that comes up at the address of another one replaces it, in whichever order and with whichever start times an
-// event lists the two. Otherwise requests for the former instance would be sent to the new one.
+// An instance that comes up at the address of another one replaces it, in whichever order and with whichever start
+// times an event lists the two. Otherwise requests for the former instance would be sent to the new one.
 func TestNewInstanceReplacesTheOneAtItsAddress(t *testing.T) {
 	const address = "10.0.9.9:1"
 	formerly := func(startedAt int64) EndpointEntry {
@@ -82,7 +82,8 @@
 			{Entries: []EndpointEntry{successor(start), formerly(0)}},
 		}},
 		{"the former one is listed again", []EndpointListUpdated{
-			{Entries: []EndpointEntry{formerly(0)}}, {Entries: []EndpointEntry{successor(start)}},
+			{Entries: []EndpointEntry{formerly(0)}},
+			{Entries: []EndpointEntry{successor(start)}},
 			{Entries: []EndpointEntry{formerly(0)}},
 		}},
 	} {
@@ -99,8 +100,8 @@
 	}
 }
 
-// A request with an idempotency key may have reached the successor of its cache at the same address. If the successor is in
-// another cell, its execution is unknown to the cache's cell, so the request must not be sent there again.
+// A request with an idempotency key may have reached the successor of its cache at the same address. If the successor
+// is in another cell, its execution is unknown to the cache's cell, so the request must not be sent there again.
 func TestNoRetryAfterAReplacementInAnotherCell(t *testing.T) {
 	const keyedClass = "orders"
 	for _, test := range []struct {
@@ -132,7 +133,8 @@
 			h.observed = nil
 			h.handle(ConnectionDown{Connection: h.dialled[0]})
 			if retried := len(h.observed) > 0 && strings.HasPrefix(h.observed[0], "dial"); retried != test.retried {
-				t.Errorf("effects %v after the connection was lost; retried %t, want %t", h.observed, retried, test.retried)
+				t.Errorf("effects %v after the connection was lost; retried %t, want %t",
+					h.observed, retried, test.retried)
 			}
 		})
 	}
--- a/internal/router/executed_requests.go
+++ b/internal/router/executed_requests.go
@@ -1,7 +1,7 @@
 package router
 
-// executedRequests remembers the IDs of ended requests that may have been executed and must not be executed again. A client
-// never uses an ID twice, but one that has lost its connection may send the same bytes again on another.
+// executedRequests remembers the IDs of ended requests that may have been executed and must not be executed again. A
+// client never uses an ID twice, but one that has lost its connection may send the same bytes again on another.
 type executedRequests struct {
 	limit  int // largest number of IDs; the oldest are forgotten first
 	known  map[RequestID]bool
--- a/internal/router/executed_requests_test.go
+++ b/internal/router/executed_requests_test.go
@@ -20,8 +20,9 @@
 	if known, queued := len(h.executed.known), len(h.executed.oldest); known != 10 || queued != 10 {
 		t.Errorf("%d requests known and %d queued, want 10 and 10", known, queued)
 	}
-	h.advance(2*h.config.LongestDeadline + second)
+	window := 2*h.config.LongestDeadline + second
+	h.advance(window)
 	if known, queued := len(h.executed.known), len(h.executed.oldest); known != 0 || queued != 0 {
-		t.Errorf("%d requests known and %d queued after %d s, want none", known, queued, 2*h.config.LongestDeadline/second+1)
+		t.Errorf("%d requests known and %d queued after %d s, want none", known, queued, window/second)
 	}
 }
--- a/internal/router/limits_test.go
+++ b/internal/router/limits_test.go
@@ -106,8 +106,8 @@
 	}
 }
 
-// Requests that are cancelled at a high rate must not be remembered without a limit: connections are drained, and what was
-// remembered with them is forgotten.
+// Requests that are cancelled at a high rate must not be remembered without a limit: connections are drained, and what
+// was remembered with them is forgotten.
 func TestAbandonedRequestsAreBounded(t *testing.T) {
 	const limit = 160
 	h := newHarness(t, func(limits *Limits, _ *control.Settings) { limits.MaxAbandoned = limit })
--- a/internal/server/limits.go
+++ b/internal/server/limits.go
@@ -28,8 +28,8 @@
 	// bodyMemoryShare limits the memory of the bodies of requests in flight.
 	bodyMemoryShare = 0.1
 
-	// requestIDMemoryShare limits the memory of the IDs of requests to which responses may come that no attempt waits for.
-	// The same limit applies separately to the IDs of ended requests that must not be executed again.
+	// requestIDMemoryShare limits the memory of the IDs of requests to which responses may come that no attempt waits
+	// for. The same limit applies separately to the IDs of ended requests that must not be executed again.
 	requestIDMemoryShare = 0.05
 )
 
@@ -133,9 +133,9 @@
 	return time.Duration(s.config.Settings.LongestDeadline)
 }
 
-// CheckOperatorConfig checks an operator's file against the settings and limits of a configuration, and returns the sections
-// that do not fit. It also sets the parts of the file that come from the configuration, such as the limits of endpoints in
-// slow start, so it must be called before the file is used.
+// CheckOperatorConfig checks an operator's file against the settings and limits of a configuration, and returns the
+// sections that do not fit. It also sets the parts of the file that come from the configuration, such as the limits of
+// endpoints in slow start, so it must be called before the file is used.
 func CheckOperatorConfig(operator *operatorconfig.File, c *config.Config) (misfits []*operatorconfig.SectionError) {
 	cache, parent := coldLimits(c.Settings)
 	s := New(c, operator, zerolog.Nop())
--- a/internal/server/logevents.go
+++ b/internal/server/logevents.go
@@ -131,8 +131,8 @@
 	}
 }
 
-// OperatorConfigRejected is logged when a reload finds an operator's file that can't be used. The configuration is applied
-// without it.
+// OperatorConfigRejected is logged when a reload finds an operator's file that can't be used. The configuration is
+// applied without it.
 type OperatorConfigRejected struct {
 	Cause error `log:"cause"`
 }
--- a/internal/server/loop.go
+++ b/internal/server/loop.go
@@ -86,8 +86,8 @@
 	}
 }
 
-// maxUncheckedWait is how long a request may have waited for the event loop without a check of whether its client is still
-// there, in ns. No attempt may begin more than 100 ms after a client has closed its connection.
+// maxUncheckedWait is how long a request may have waited for the event loop without a check of whether its client is
+// still there, in ns. No attempt may begin more than 100 ms after a client has closed its connection.
 const maxUncheckedWait = int64(25 * time.Millisecond)
 
 // receiveRequest passes a request to the reducer, or rejects it if its client has gone while it waited.
--- a/internal/server/loop_test.go
+++ b/internal/server/loop_test.go
@@ -15,10 +15,11 @@
 
 // knownCache is the watch events of a configuration that knows one cache, at which nobody listens.
 const knownCache = `{"pos":1,"entries":[{"pos":1,"hosts":{"generation":1,"reset":true,"instances":[` +
-	`{"instanceId":"s-1","hostPort":"127.0.0.1:1","zone":"here","machineType":"cache","lifecycle":"active","weight":4}]}}]}`
+	`{"instanceId":"s-1","hostPort":"127.0.0.1:1","zone":"here","machineType":"cache",` +
+	`"lifecycle":"active","weight":4}]}}]}`
 
-// A request that has waited for the event loop must not reach the reducer if its client has left meanwhile: an attempt for
-// it would begin long after the client's end.
+// A request that has waited for the event loop must not reach the reducer if its client has left meanwhile: an attempt
+// for it would begin long after the client's end.
 func TestRequestsOfDepartedClientsAreNotStarted(t *testing.T) {
 	raw := fmt.Appendf(nil, testConfig, testkit.FreeAddress(t), "127.0.0.1:1", knownCache, 1.0)
 	c, err := config.Parse(raw, "", "")
@@ -26,7 +27,12 @@
 		t.Fatal(err)
 	}
 	request, err := router.DecodeRequest(map[string]string{
-		"verb": "stills", "txn": "00000000000000aa", "limit": "1000", "item": "00000000000000bb", "nth": "0", "batch": "1",
+		"verb":  "stills",
+		"txn":   "00000000000000aa",
+		"limit": "1000",
+		"item":  "00000000000000bb",
+		"nth":   "0",
+		"batch": "1",
 	}, nil)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/server/misfits_test.go
+++ b/internal/server/misfits_test.go
@@ -23,8 +23,8 @@
 	"github.com/rs/zerolog"
 )
 
-// misfits are operator's files of which one section does not fit the configuration of newMisfitConfig, and what shows that
-// the section is off in a server.
+// misfits are operator's files of which one section does not fit the configuration of newMisfitConfig, and what shows
+// that the section is off in a server.
 var misfits = []struct {
 	section operatorconfig.Section
 	text    string
@@ -96,8 +96,8 @@
 	}
 }
 
-// A section of the operator's file that does not fit the configuration is off at a start, and the server serves. It used to
-// end: a router that was killed and came back after the number of routers had grown stayed away.
+// A section of the operator's file that does not fit the configuration is off at a start, and the server serves. It
+// used to end: a router that was killed and came back after the number of routers had grown stayed away.
 func TestStartWithMisfit(t *testing.T) {
 	for _, misfit := range misfits {
 		t.Run(string(misfit.section), func(t *testing.T) {
@@ -123,8 +123,9 @@
 	}
 }
 
-// At a reload a section that does not fit stays as it was, as does a file that can't be used, and the router follows the
-// discovery service of the new configuration. It used to stay with the former service, and served copies from before a purge.
+// At a reload a section that does not fit stays as it was, as does a file that can't be used, and the router follows
+// the discovery service of the new configuration. It used to stay with the former service, and served copies from
+// before a purge.
 func TestReloadWithMisfit(t *testing.T) {
 	for _, misfit := range misfits {
 		t.Run(string(misfit.section), func(t *testing.T) {
@@ -144,8 +145,8 @@
 	})
 }
 
-// reloadTo runs a server and has it reload a configuration that names another discovery service. It checks that the server
-// calls this one, and returns the log.
+// reloadTo runs a server and has it reload a configuration that names another discovery service. It checks that the
+// server calls this one, and returns the log.
 func reloadTo(t *testing.T, loaded Loaded) *lockedBuffer {
 	t.Helper()
 	address, former, next := testkit.FreeAddress(t), startDiscovery(t), startDiscovery(t)
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -48,9 +48,9 @@
 }
 
 // reload loads the configuration and applies the parts that can change in a running server: the address of the
-// discovery service, and the parts of the cluster that clusterNode.reload applies. Changes of other parts, which need
-// a restart, are logged. If the configuration can't be used, nothing changes. The operator's file is taken by itself: if it
-// can't be used, the router still follows the discovery service, without which it learns of no drain and no purge.
+// discovery service, and the parts of the cluster that clusterNode.reload applies. Changes of other parts, which need a
+// restart, are logged. If the configuration can't be used, nothing changes. The operator's file is taken by itself: if
+// it can't be used, the router still follows the discovery service, without which it learns of no drain and no purge.
 func (s *Server) reload(ctx context.Context, load LoadFunc, watch *discovery.Watcher) {
 	loaded, err := loadWithRetry(ctx, load, s.emit)
 	if err != nil {
@@ -65,8 +65,8 @@
 	watch.SetAddress(loaded.Config.DiscoveryAddress)
 }
 
-// reloadOperator applies the parts of the operator's file that can change in a running server. A section that does not fit
-// the new configuration is logged: the one from the start stays in force.
+// reloadOperator applies the parts of the operator's file that can change in a running server. A section that does not
+// fit the new configuration is logged: the one from the start stays in force.
 func (s *Server) reloadOperator(ctx context.Context, loaded Loaded) {
 	err := loaded.OperatorError
 	if err == nil && s.cluster != nil && loaded.Operator != nil {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -70,7 +70,8 @@
 // WithClock sets the server's clock. The default is clock.System.
 func WithClock(c clock.Clock) Option { return func(s *Server) { s.clock = c } }
 
-// WithMisfits turns sections of the operator's file off that do not fit the configuration. The server logs them when it starts.
+// WithMisfits turns sections of the operator's file off that do not fit the configuration. The server logs them when it
+// starts.
 func WithMisfits(misfits []*operatorconfig.SectionError) Option {
 	return func(s *Server) {
 		s.misfits = misfits
--- a/internal/upstream/loadreport.go
+++ b/internal/upstream/loadreport.go
@@ -26,9 +26,9 @@
 // maxReportedLoad is the largest value of a load report that is used.
 const maxReportedLoad = 1e9
 
-// decodeLoadReport returns the values of a load report for the given names, in that order. A value that is missing or not a
-// number is 0. It returns nil if a value is not from 0 to maxReportedLoad: such a report is not used, since one value that
-// is infinite, for example, would spoil an average for good.
+// decodeLoadReport returns the values of a load report for the given names, in that order. A value that is missing or
+// not a number is 0. It returns nil if a value is not from 0 to maxReportedLoad: such a report is not used, since one
+// value that is infinite, for example, would spoil an average for good.
 func decodeLoadReport(text string, names []string) []float64 {
 	reported := map[string]float64{}
 	for field := range strings.SplitSeq(text, ";") {
--- a/internal/upstream/loadreport_test.go
+++ b/internal/upstream/loadreport_test.go
@@ -5,8 +5,8 @@
 	"testing"
 )
 
-// A load report with a value that no server can have is not used: one infinite value, or one that is no number, used to spoil
-// the router's estimate of its peers for good, and nearly all requests were rejected from then on.
+// A load report with a value that no server can have is not used: one infinite value, or one that is no number, used to
+// spoil the router's estimate of its peers for good, and nearly all requests were rejected from then on.
 func TestDecodeLoadReport(t *testing.T) {
 	names := []string{"inflight", "util"}
 	for _, test := range []struct {
