A test of real instances waits for the event of a rejected operator's file

Since the configuration is taken by itself, such a file has an event of its own, operator_config_rejected. The test waits for that one, with the same cause, and checks the rest as before.

Result: internal/experiment/testcluster passes.

--- a/internal/experiment/testcluster/reload_test.go
+++ b/internal/experiment/testcluster/reload_test.go
@@ -53,7 +53,7 @@
 
 	must(os.WriteFile(c.Path("n00", ".sx"), []byte("(fleet (nonsense))"), 0o600))
 	must(c.Signal("n00", syscall.SIGHUP))
-	clustertest.WaitForLog(t, c, "n00", "config_rejected", `"cause":"operator's file`)
+	clustertest.WaitForLog(t, c, "n00", "operator_config_rejected", `"cause":"operator's file`)
 	must(c.WaitForAllSlotsLeased(t.Context(), time.Second))
 
 	// Instances trust a new root in addition to the old one, and then get certificates of the new root.
